--- a/include/hibiscusnotch/core/verdict.hpp
+++ b/include/hibiscusnotch/core/verdict.hpp
@@ -43,6 +43,11 @@
   Starting,
   ShuttingDown,
   CallerGone,
+  UnknownRoute,
+  KeysTooOld,
+  NoConfiguration,
+  AttemptsUsedUp,
+  UpstreamFailed,
 };
 
 /// @brief The final answer to a request that is not answered by an upstream.
--- /dev/null
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// @brief One entry instance before services whose fleet changes while it runs.
+#pragma once
+
+#include "hibiscusnotch/entry/dialect.hpp"
+#include "hibiscusnotch/entry/fleet_sync.hpp"
+#include "hibiscusnotch/entry/gossip.hpp"
+#include "hibiscusnotch/entry/request_router.hpp"
+#include "hibiscusnotch/entry/store_codec.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hibiscusnotch::entry {
+
+struct EntryNodeOptions
+{
+  std::string instanceName;
+  core::Endpoint callers;   ///< Takes requests.
+  core::Endpoint readiness; ///< Answers the balancer's question.
+  std::string readinessPath = "/ready";
+  core::Endpoint metrics;
+  core::Endpoint datagrams;
+  /// @brief From the signal to the end of the process.
+  Duration grace{ 8'000'000 };
+  RouterOptions router;
+  FleetSyncOptions sync;
+};
+
+/// @brief Collaborators that speak the deployment's names.
+struct EntryNodeParts
+{
+  const Dialect& dialect;
+  const StoreCodec& codec;
+  /// @brief Builds the store's client over the node's caller.
+  std::function<std::unique_ptr<store::ObjectStore>(relay::Caller&,
+                                                    relay::Timers&)>
+    makeStore;
+};
+
+class EntryNode
+{
+public:
+  virtual ~EntryNode() = default;
+  /// @brief Stops being ready, finishes what is open, then calls back.
+  virtual void Drain(std::function<void()> aDone) = 0;
+  virtual bool Ready() const = 0;
+};
+
+/// @brief Listens at once; throws when an endpoint cannot be had.
+std::unique_ptr<EntryNode>
+MakeEntryNode(boost::asio::io_context& aContext,
+              EntryNodeOptions aOptions,
+              EntryNodeParts aParts);
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// @brief What one instance believes of the fleet.
+#pragma once
+
+#include "hibiscusnotch/core/quarantine.hpp"
+#include "hibiscusnotch/routing/configuration.hpp"
+#include "hibiscusnotch/routing/rollout.hpp"
+#include "hibiscusnotch/routing/upstream_table.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hibiscusnotch::entry {
+
+using core::Duration;
+using core::TimePoint;
+
+/// @brief Plain tables; the systems of this module run over them.
+struct FleetState
+{
+  std::shared_ptr<const routing::Configuration> configuration;
+  /// @brief All changes of the configuration up to then are known here.
+  TimePoint configurationConfirmed{};
+  bool upstreamsKnown = false;
+  routing::UpstreamTable upstreams;
+  std::set<std::string, std::less<>> zonesOut;
+  routing::Rollouts rollouts;
+  /// @brief Instances by name, with the address for their datagrams.
+  std::map<std::string, core::Endpoint> instances;
+  core::Quarantine quarantine;
+
+  std::size_t InstanceCount() const
+  {
+    return instances.empty() ? 1 : instances.size();
+  }
+};
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// @brief Takes callers' requests to an answer or a refusal.
+#pragma once
+
+#include "hibiscusnotch/entry/dialect.hpp"
+#include "hibiscusnotch/entry/event_log.hpp"
+#include "hibiscusnotch/entry/fleet_state.hpp"
+#include "hibiscusnotch/observe/metrics.hpp"
+#include "hibiscusnotch/relay/caller.hpp"
+#include "hibiscusnotch/relay/listener.hpp"
+#include "hibiscusnotch/routing/retry_allowance.hpp"
+#include "hibiscusnotch/routing/size_ladder.hpp"
+
+#include <memory>
+#include <string>
+
+namespace hibiscusnotch::entry {
+
+struct RouterOptions
+{
+  std::string zone;
+  /// @brief A key counts only if the configuration was confirmed this lately.
+  /// Source: the operators' bound on removed keys, less a margin.
+  Duration keyFreshness{ 4'000'000 };
+  bool enforceKeyRemoval = true;
+  routing::RetryLimits retries;
+  routing::SizeLadderOptions sizes;
+  /// @brief Requests a second that a cold upstream bears, all instances'.
+  double coldFactor = 1.0;
+  double coldExtra = 0;
+};
+
+/// @brief Collaborators; all outlive the router.
+struct RouterParts
+{
+  relay::Timers& timers;
+  relay::Caller& caller;
+  const Dialect& dialect;
+  FleetState& fleet;
+  EventLog& log;
+  observe::Metrics& metrics;
+};
+
+class RequestRouter
+{
+public:
+  virtual ~RequestRouter() = default;
+
+  /// @brief Sets where answers go; before the first request.
+  virtual void SetListener(relay::Listener& aListener) = 0;
+  virtual void OnRequest(relay::ExchangeId aId, net::HttpRequest aRequest) = 0;
+  virtual void OnGone(relay::ExchangeId aId) = 0;
+  virtual void OnDrained(relay::ExchangeId aId) = 0;
+  virtual std::size_t Open() const = 0;
+  /// @brief True when keyed requests are served.
+  virtual bool KeysAreFresh() const = 0;
+};
+
+std::unique_ptr<RequestRouter>
+MakeRequestRouter(RouterOptions aOptions, RouterParts aParts);
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/include/hibiscusnotch/entry/rollout_duty.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// @brief Writes the outcome of roll-outs into the store.
+#pragma once
+
+#include "hibiscusnotch/entry/event_log.hpp"
+#include "hibiscusnotch/entry/fleet_state.hpp"
+#include "hibiscusnotch/entry/store_codec.hpp"
+
+#include <memory>
+#include <string>
+
+namespace hibiscusnotch::entry {
+
+struct RolloutDutyParts
+{
+  store::ObjectStore& store;
+  relay::Timers& timers;
+  const StoreCodec& codec;
+  FleetState& fleet;
+  EventLog& log;
+};
+
+/// @brief Any instance may write; the store's revisions let one win.
+class RolloutDuty
+{
+public:
+  virtual ~RolloutDuty() = default;
+  /// @brief The last outcome written by this instance, for tests and status.
+  virtual std::size_t Written() const = 0;
+};
+
+std::unique_ptr<RolloutDuty>
+MakeRolloutDuty(std::string aInstanceName, RolloutDutyParts aParts);
+
+} // namespace hibiscusnotch::entry
--- a/include/hibiscusnotch/observe/logger.hpp
+++ b/include/hibiscusnotch/observe/logger.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief Writes numbered log events to standard error.
+/// @brief Writes numbered log events to a standard stream.
 #pragma once
 
 #include "hibiscusnotch/core/log_event.hpp"
@@ -9,9 +9,18 @@
 
 namespace hibiscusnotch::observe {
 
-/// @brief Chooses layout and level for the whole process.
+/// @brief Where the lines go; a command with output of its own logs to the
+/// error stream.
+enum class LogStream
+{
+  StandardError,
+  StandardOutput,
+};
+
+/// @brief Chooses layout, level and stream for the whole process.
 void
-StartLogging(const core::LogSettings& aSettings);
+StartLogging(const core::LogSettings& aSettings,
+             LogStream aStream = LogStream::StandardError);
 
 /// @brief Writes one event with its number, name and details.
 /// @param aSource The instance or stand-in that reports it.
--- /dev/null
+++ b/include/hibiscusnotch/relay/caller.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// @brief Outgoing requests, one connection each.
+#pragma once
+
+#include "hibiscusnotch/core/settings.hpp"
+#include "hibiscusnotch/relay/clock.hpp"
+#include "hibiscusnotch/relay/http_reader.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hibiscusnotch::relay {
+
+using CallId = uint64_t;
+
+/// @brief How a call ended, and so whether its request may have run.
+enum class CallEnd
+{
+  Complete, ///< The response is whole.
+  NotSent,  ///< No byte of the request reached the peer.
+  Broken,   ///< The connection failed after bytes had left.
+};
+
+struct OutgoingCall
+{
+  core::Endpoint to;
+  std::string message; ///< The request, as it goes on the wire.
+  Duration connectTimeout{ 300'000 };
+  bool bodyless = false; ///< A HEAD request: the response has no body.
+};
+
+/// @brief What a call reports, in this order.
+struct CallObserver
+{
+  std::function<void(const ResponseHead&)> onHead;
+  std::function<void(std::string_view)> onBody;
+  std::function<void(CallEnd, std::string_view aWhy)> onEnd;
+};
+
+/// @brief Sends requests.
+///
+/// Every request has a connection of its own: no answer of a former request
+/// and no connection that the peer is about to close can touch it.
+class Caller
+{
+public:
+  virtual ~Caller() = default;
+
+  virtual CallId Start(OutgoingCall aCall, CallObserver aObserver) = 0;
+  /// @brief Closes the connection; no report comes after it.
+  virtual void Cancel(CallId aCall) = 0;
+  /// @brief Stops or resumes reading, for a receiver that is slow.
+  virtual void SetPaused(CallId aCall, bool aPaused) = 0;
+  virtual std::size_t Open() const = 0;
+};
+
+std::unique_ptr<Caller>
+MakeCaller(boost::asio::io_context& aContext, Timers& aTimers);
+
+} // namespace hibiscusnotch::relay
--- /dev/null
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// @brief Chooses the upstream for one attempt.
+#pragma once
+
+#include "hibiscusnotch/core/verdict.hpp"
+#include "hibiscusnotch/routing/upstream_table.hpp"
+
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace hibiscusnotch::routing {
+
+/// @brief One attempt that looks for an upstream.
+struct PlacementRequest
+{
+  std::string_view service;
+  std::string_view model;         ///< Empty for plain services.
+  std::string_view affinityKey;   ///< The deepest shared part of the prompt.
+  double sharedTokens = 0;        ///< Prompt tokens under that key.
+  double promptTokens = 0;        ///< All prompt tokens.
+  std::string_view onlyVersion;   ///< Software version; empty for any.
+  std::string_view exceptVersion; ///< Software version to avoid.
+  std::span<const UpstreamId> tried;
+};
+
+/// @brief What the choice depends on beside the table.
+struct PlacementView
+{
+  const UpstreamTable& upstreams;
+  const std::set<std::string, std::less<>>& zonesOut;
+  std::string_view homeZone;
+  double coldSendsPerSecond = 1; ///< This instance's part, per cold upstream.
+  TimePoint now;
+};
+
+/// @brief True when the upstream may be sent new work now.
+bool
+Eligible(const PlacementView& aView,
+         const Upstream& aUpstream,
+         core::Reason& aLastReason);
+
+/// @brief The upstream of least expected cost; the reason when there is none.
+std::optional<UpstreamId>
+Place(const PlacementView& aView,
+      const PlacementRequest& aRequest,
+      core::Reason& aLastReason);
+
+} // namespace hibiscusnotch::routing
--- /dev/null
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// @brief Moves a service's traffic to a new software version, or back.
+#pragma once
+
+#include "hibiscusnotch/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hibiscusnotch::routing {
+
+using core::Duration;
+using core::TimePoint;
+
+enum class RolloutState
+{
+  Ordered, ///< Nobody has acted on it yet.
+  Running,
+  Succeeded,
+  RolledBack,
+};
+
+/// @brief What the operator asked for, and what was decided so far.
+struct RolloutOrder
+{
+  std::string service;
+  std::string target; ///< A software version.
+  Duration duration{ 0 };
+  uint64_t revision = 0; ///< Of the object's last change.
+  uint64_t creation = 0; ///< Tells one order from the next.
+  RolloutState state = RolloutState::Ordered;
+};
+
+/// @brief Which software versions a request may go to; empty for any.
+struct VersionRule
+{
+  std::string only;
+  std::string except;
+};
+
+/// @brief Decayed counts of answers.
+struct AnswerCounts
+{
+  double good = 0;
+  double bad = 0;
+
+  double Total() const { return good + bad; }
+};
+
+/// @brief One instance's evidence on one order, as peers exchange it.
+struct RolloutEvidence
+{
+  uint64_t creation = 0; ///< Of the order it belongs to.
+  /// @brief By route: answers of the target and of the other versions.
+  std::map<std::string, AnswerCounts> target;
+  std::map<std::string, AnswerCounts> others;
+};
+
+/// @brief All roll-outs that this instance knows.
+class Rollouts
+{
+public:
+  void Apply(const RolloutOrder& aOrder, TimePoint aNow);
+  void Remove(std::string_view aService);
+
+  /// @brief Where a request may go now.
+  /// @param aStableHash Of what must stay on one version, such as a session.
+  VersionRule RuleFor(std::string_view aService,
+                      uint64_t aStableHash,
+                      TimePoint aNow) const;
+
+  /// @brief Takes in the outcome of one execution.
+  /// @param aLatency Time to the first output; compared within a group.
+  /// @param aGroup Answers whose latencies are alike.
+  void CountAnswer(std::string_view aService,
+                   std::string_view aVersion,
+                   std::string_view aRoute,
+                   std::string_view aGroup,
+                   bool aGood,
+                   Duration aLatency,
+                   TimePoint aNow);
+
+  /// @brief This instance's evidence, by service, for its peers.
+  std::map<std::string, RolloutEvidence> OwnEvidence(TimePoint aNow);
+  void TakeEvidence(std::string_view aService,
+                    std::string_view aInstance,
+                    const RolloutEvidence& aEvidence);
+
+  /// @brief The state that should be written now, if it differs.
+  std::optional<RolloutState> Wanted(std::string_view aService, TimePoint aNow);
+
+  /// @brief The order for a service; nothing when there is none.
+  const RolloutOrder* Find(std::string_view aService) const;
+  bool AnyOpen() const;
+  const auto& All() const { return trials_; }
+
+private:
+  struct Latency
+  {
+    double mean = 0; ///< Seconds, exponentially weighted.
+    uint32_t count = 0;
+  };
+  struct Trial
+  {
+    RolloutOrder order;
+    TimePoint seenAt{};
+    TimePoint decayedAt{};
+    RolloutEvidence own;
+    std::map<std::string, RolloutEvidence, std::less<>> peers;
+    std::map<std::string, Latency, std::less<>> othersLatency;
+    bool bad = false;
+  };
+
+  static double ExposureAt(const Trial& aTrial, TimePoint aNow);
+  static void Decay(Trial& aTrial, TimePoint aNow);
+  static bool LooksBad(const Trial& aTrial);
+
+  std::map<std::string, Trial, std::less<>> trials_;
+};
+
+} // namespace hibiscusnotch::routing
--- /dev/null
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -0,0 +1,107 @@
+/// @file
+/// @brief The upstreams known now, and what was seen of each.
+#pragma once
+
+#include "hibiscusnotch/core/ids.hpp"
+#include "hibiscusnotch/core/settings.hpp"
+#include "hibiscusnotch/core/time.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hibiscusnotch::routing {
+
+using core::Duration;
+using core::TimePoint;
+using core::UpstreamId;
+
+/// @brief What the service discovery says of one upstream.
+struct UpstreamEntry
+{
+  std::string name;
+  std::string service;
+  core::Endpoint endpoint;
+  std::string zone;
+  std::string softwareVersion;
+  uint32_t slots = 1;
+  bool leaving = false;
+  Duration coldFor{ 0 };
+  int64_t incarnation = 0; ///< Changes with each start of its process.
+};
+
+/// @brief Load that an upstream reported in an answer.
+struct ReportedLoad
+{
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+};
+
+/// @brief One row.
+struct Upstream
+{
+  UpstreamEntry entry;
+  bool gone = false;               ///< Removed or replaced; no new work.
+  bool leavingSeen = false;        ///< It said itself that it leaves.
+  std::optional<TimePoint> lapsed; ///< Entry lost around a store outage.
+  TimePoint coldUntil{};
+  TimePoint suspectUntil{};
+  uint32_t failuresInRow = 0;
+  uint32_t inFlight = 0;    ///< Requests of this instance.
+  double pendingTokens = 0; ///< Own prompts sent and not yet answered.
+  double othersLoad = 0;    ///< Other instances' requests, last reported.
+  TimePoint othersLoadAt{};
+  double failureShare = 0;           ///< Exponentially weighted, 0 to 1.
+  double outcomes = 0;               ///< How many outcomes that share rests on.
+  std::deque<TimePoint> recentSends; ///< Within the last second, while cold.
+};
+
+/// @brief All rows, addressed by ids that are never used again.
+class UpstreamTable
+{
+public:
+  /// @brief How long an entry that lapsed with the store stays usable.
+  /// Source: the platform restores live entries within two seconds.
+  static constexpr Duration kLapseGrace{ 2'000'000 };
+  /// @brief How long a reported load counts in full.
+  static constexpr Duration kLoadMemory{ 1'000'000 };
+
+  /// @brief Adds or updates a row; a new incarnation starts with nothing.
+  UpstreamId Apply(const UpstreamEntry& aEntry, TimePoint aNow);
+
+  /// @brief Takes an entry out; with grace when it may come back.
+  void Remove(std::string_view aName, bool aMayReturn, TimePoint aNow);
+
+  /// @brief Ends the grace of lapsed rows and forgets idle gone ones.
+  void Sweep(TimePoint aNow);
+
+  Upstream* Find(UpstreamId aId);
+  const Upstream* Find(UpstreamId aId) const;
+  std::optional<UpstreamId> FindByName(std::string_view aName) const;
+  const std::map<UpstreamId, Upstream>& Rows() const { return rows_; }
+
+  void CountSend(UpstreamId aId, double aPromptTokens, TimePoint aNow);
+  /// @brief The prompt has been read: its tokens no longer wait.
+  void CountFirstOutput(UpstreamId aId, double aPromptTokens);
+  void CountEnd(UpstreamId aId);
+  void CountLoad(UpstreamId aId, const ReportedLoad& aLoad, TimePoint aNow);
+  /// @brief An answer of the upstream itself, good or a failure.
+  void CountOutcome(UpstreamId aId, bool aGood);
+  /// @brief The upstream did not answer on the network.
+  void CountUnreachable(UpstreamId aId, Duration aColdStart, TimePoint aNow);
+  void CountReachable(UpstreamId aId);
+
+  /// @brief Expected number of requests at the upstream, all instances'.
+  static double Load(const Upstream& aUpstream, TimePoint aNow);
+
+private:
+  std::map<UpstreamId, Upstream> rows_;
+  std::map<std::string, UpstreamId, std::less<>> byName_;
+  uint32_t next_ = 0;
+};
+
+} // namespace hibiscusnotch::routing
--- /dev/null
+++ b/include/hibiscusnotch/store/watcher.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// @brief Follows all objects of one kind through cuts, gaps and outages.
+#pragma once
+
+#include "hibiscusnotch/relay/clock.hpp"
+#include "hibiscusnotch/store/object_store.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hibiscusnotch::store {
+
+struct WatcherOptions
+{
+  std::string kind;
+  Duration wait{ 10'000'000 }; ///< How long the store may hold a watch.
+  /// @brief Wait of the watch that follows a change, so that what was known
+  /// before the change is confirmed soon.
+  Duration waitAfterChange{ 500'000 };
+};
+
+struct WatcherObserver
+{
+  /// @brief The whole list, after a start or a gap.
+  std::function<void(const std::vector<Object>&)> onList;
+  std::function<void(const Change&)> onChange;
+  /// @brief All changes up to that time are known here.
+  std::function<void(TimePoint)> onConfirmed;
+  /// @brief The first failure after a success.
+  std::function<void(StoreFault)> onLost;
+  /// @brief The first success after a failure.
+  std::function<void()> onRegained;
+};
+
+class Watcher
+{
+public:
+  virtual ~Watcher() = default;
+  /// @brief Until this time lost entries may come back: an outage just ended.
+  virtual bool RecentlyLost(TimePoint aNow) const = 0;
+};
+
+std::unique_ptr<Watcher>
+MakeWatcher(ObjectStore& aStore,
+            relay::Timers& aTimers,
+            WatcherOptions aOptions,
+            WatcherObserver aObserver);
+
+} // namespace hibiscusnotch::store
--- a/src/hibiscusnotch/cli/command.cpp
+++ b/src/hibiscusnotch/cli/command.cpp
@@ -14,6 +14,7 @@
 constexpr std::array kCommands{
   Command{ "check", "parse, merge and check settings", RunCheck },
   Command{ "serve", "run one entry instance", RunServe },
+  Command{ "entry", "run one entry instance on the platform", RunEntry },
   Command{ "admin", "see and change the configuration", RunAdmin },
   Command{ "stand-in",
            "run an engine, service, platform or rater",
--- a/src/hibiscusnotch/cli/commands.hpp
+++ b/src/hibiscusnotch/cli/commands.hpp
@@ -12,6 +12,9 @@
 int
 RunReplay(const Arguments& aArguments);
 
+int
+RunEntry(const Arguments& aArguments);
+
 int
 RunServe(const Arguments& aArguments);
 
--- /dev/null
+++ b/src/hibiscusnotch/cli/entry_command.cpp
@@ -0,0 +1,28 @@
+#include "commands.hpp"
+
+#include "hibiscusnotch/cli/options.hpp"
+#include "platform/run.hpp"
+
+namespace hibiscusnotch::cli {
+
+int
+RunEntry(const Arguments& aArguments)
+{
+  boost::program_options::options_description description("Options");
+  description.add_options()(
+    "settings",
+    boost::program_options::value<std::string>()->default_value(""),
+    "settings file, in place of the one that the environment names");
+  const ParsedOptions parsed = ParseOptions(
+    "entry",
+    "Runs one entry instance whose fleet is declared in the platform's store;\n"
+    "SIGTERM drains it, SIGHUP checks the settings file again.",
+    description,
+    aArguments);
+  if (parsed.exit) {
+    return *parsed.exit;
+  }
+  return adapter::RunOnPlatform(parsed.values["settings"].as<std::string>());
+}
+
+} // namespace hibiscusnotch::cli
--- a/src/hibiscusnotch/core/verdict.cpp
+++ b/src/hibiscusnotch/core/verdict.cpp
@@ -68,6 +68,16 @@
       return "shutting_down";
     case Reason::CallerGone:
       return "caller_gone";
+    case Reason::UnknownRoute:
+      return "unknown_route";
+    case Reason::KeysTooOld:
+      return "keys_too_old";
+    case Reason::NoConfiguration:
+      return "no_configuration";
+    case Reason::AttemptsUsedUp:
+      return "attempts_used_up";
+    case Reason::UpstreamFailed:
+      return "upstream_failed";
   }
   return "none";
 }
--- /dev/null
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -0,0 +1,233 @@
+#include "hibiscusnotch/entry/entry_node.hpp"
+
+#include "hibiscusnotch/entry/rollout_duty.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+namespace hibiscusnotch::entry {
+
+namespace {
+
+using core::EventNumber;
+
+// The balancer asks once a second and needs two misses to move callers away;
+// a request that is on its way then still finds this instance.
+constexpr Duration kBalancerDelay{ 3'000'000 };
+constexpr Duration kDrainStep{ 100'000 };
+// Left of the grace for the end of the process itself.
+constexpr Duration kExitMargin{ 300'000 };
+constexpr Duration kGaugeStep{ 2'000'000 };
+
+relay::ListenerOptions
+ListenAt(const core::Endpoint& aEndpoint)
+{
+  relay::ListenerOptions options;
+  options.endpoint = aEndpoint;
+  return options;
+}
+
+EventLogOptions
+LogAs(const std::string& aSource)
+{
+  EventLogOptions options;
+  options.source = aSource;
+  return options;
+}
+
+class Node : public EntryNode
+{
+public:
+  Node(boost::asio::io_context& aContext,
+       EntryNodeOptions aOptions,
+       EntryNodeParts aParts)
+    : options_(std::move(aOptions))
+    , timers_(relay::MakeTimers(aContext, relay::BootClock()))
+    , caller_(relay::MakeCaller(aContext, *timers_))
+    , store_(aParts.makeStore(*caller_, *timers_))
+    , metrics_(observe::MakeMetrics())
+    , log_(*timers_, LogAs(options_.instanceName))
+    , router_(MakeRequestRouter(
+        options_.router,
+        { *timers_, *caller_, aParts.dialect, fleet_, log_, *metrics_ }))
+    , callers_(relay::MakeListener(aContext,
+                                   *timers_,
+                                   ListenAt(options_.callers),
+                                   CallerObserver()))
+    , readiness_(relay::MakeListener(aContext,
+                                     *timers_,
+                                     ListenAt(options_.readiness),
+                                     ReadinessObserver()))
+    , metricsListener_(relay::MakeListener(aContext,
+                                           *timers_,
+                                           ListenAt(options_.metrics),
+                                           MetricsObserver()))
+    , sync_(MakeFleetSync(options_.sync,
+                          { *store_,
+                            *timers_,
+                            aParts.codec,
+                            fleet_,
+                            log_,
+                            [this] { ApplyLimits(); } }))
+    , gossip_(MakeGossip(aContext,
+                         *timers_,
+                         { options_.instanceName, options_.datagrams },
+                         fleet_,
+                         log_))
+    , duty_(MakeRolloutDuty(options_.instanceName,
+                            { *store_, *timers_, aParts.codec, fleet_, log_ }))
+  {
+    router_->SetListener(*callers_);
+    log_.Write(EventNumber::InstanceStarted,
+               "zone=" + options_.router.zone +
+                 " callers=" + options_.callers.address + ':' +
+                 std::to_string(options_.callers.port));
+    UpdateGauges();
+  }
+
+  void Drain(std::function<void()> aDone) override
+  {
+    if (drainStarted_) {
+      return;
+    }
+    drainStarted_ = timers_->Now();
+    log_.Write(EventNumber::DrainStarted,
+               "open=" + std::to_string(router_->Open()));
+    callers_->Drain();
+    sync_->Leave();
+    AwaitDrained(std::move(aDone));
+  }
+
+  bool Ready() const override
+  {
+    if (drainStarted_ || !fleet_.configuration || !fleet_.upstreamsKnown) {
+      return false;
+    }
+    return fleet_.configuration->organisations.empty() ||
+           router_->KeysAreFresh();
+  }
+
+private:
+  relay::ListenerObserver CallerObserver()
+  {
+    return { [this](relay::ExchangeId aId, net::HttpRequest aRequest) {
+              router_->OnRequest(aId, std::move(aRequest));
+            },
+             [this](relay::ExchangeId aId) { router_->OnGone(aId); },
+             [this](relay::ExchangeId aId) { router_->OnDrained(aId); } };
+  }
+
+  relay::ListenerObserver ReadinessObserver()
+  {
+    return { [this](relay::ExchangeId aId, const net::HttpRequest& aRequest) {
+              const bool known = aRequest.target == options_.readinessPath;
+              NoteReadiness();
+              Answer(*readiness_, aId, known ? (Ready() ? 200 : 503) : 404, "");
+            },
+             [](relay::ExchangeId) {},
+             [](relay::ExchangeId) {} };
+  }
+
+  relay::ListenerObserver MetricsObserver()
+  {
+    return { [this](relay::ExchangeId aId, const net::HttpRequest&) {
+              Answer(*metricsListener_, aId, 200, metrics_->Text());
+            },
+             [](relay::ExchangeId) {},
+             [](relay::ExchangeId) {} };
+  }
+
+  static void Answer(relay::Listener& aListener,
+                     relay::ExchangeId aId,
+                     int aStatus,
+                     const std::string& aBody)
+  {
+    aListener.Start(aId,
+                    aStatus,
+                    aStatus == 200 ? "OK" : "Unavailable",
+                    { { "Content-Type", "text/plain" },
+                      { "Content-Length", std::to_string(aBody.size()) } },
+                    relay::Framing::Length);
+    aListener.Write(aId, aBody);
+    aListener.Finish(aId);
+  }
+
+  void NoteReadiness()
+  {
+    const bool ready = Ready();
+    if (ready != lastReady_) {
+      lastReady_ = ready;
+      log_.Write(EventNumber::Readiness,
+                 std::string("ready=") + (ready ? "yes" : "no") +
+                   " draining=" + (drainStarted_ ? "yes" : "no") +
+                   " keys_fresh=" + (router_->KeysAreFresh() ? "yes" : "no"));
+    }
+  }
+
+  void ApplyLimits()
+  {
+    const routing::CallerLimits& limits = fleet_.configuration->limits;
+    relay::ListenerOptions options;
+    options.limits = { limits.maxHeaderBytes, limits.maxBodyBytes };
+    options.headerTimeout = limits.headerTimeout;
+    options.idleTimeout = limits.idleTimeout;
+    callers_->SetOptions(options);
+  }
+
+  void AwaitDrained(std::function<void()> aDone)
+  {
+    const Duration spent = timers_->Now() - *drainStarted_;
+    const bool idle = router_->Open() == 0 && spent >= kBalancerDelay;
+    if (idle || spent >= options_.grace - kExitMargin) {
+      log_.Write(EventNumber::DrainFinished,
+                 std::string("complete=") + (idle ? "yes" : "no") +
+                   " open=" + std::to_string(router_->Open()));
+      aDone();
+      return;
+    }
+    timers_->After(kDrainStep,
+                   [this, aDone] { AwaitDrained(std::move(aDone)); });
+  }
+
+  void UpdateGauges()
+  {
+    metrics_->Set(observe::Gauge::OpenRequests,
+                  static_cast<double>(router_->Open()));
+    metrics_->Set(observe::Gauge::LiveInstances,
+                  static_cast<double>(fleet_.InstanceCount()));
+    if (fleet_.configuration) {
+      metrics_->Set(observe::Gauge::ConfigurationRevision,
+                    static_cast<double>(fleet_.configuration->version));
+    }
+    metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->Calls());
+    timers_->After(kGaugeStep, [this] { UpdateGauges(); });
+  }
+
+  EntryNodeOptions options_;
+  FleetState fleet_;
+  std::unique_ptr<relay::Timers> timers_;
+  std::unique_ptr<relay::Caller> caller_;
+  std::unique_ptr<store::ObjectStore> store_;
+  std::unique_ptr<observe::Metrics> metrics_;
+  EventLog log_;
+  std::unique_ptr<RequestRouter> router_;
+  std::unique_ptr<relay::Listener> callers_;
+  std::unique_ptr<relay::Listener> readiness_;
+  std::unique_ptr<relay::Listener> metricsListener_;
+  std::unique_ptr<FleetSync> sync_;
+  std::unique_ptr<Gossip> gossip_;
+  std::unique_ptr<RolloutDuty> duty_;
+  std::optional<TimePoint> drainStarted_;
+  bool lastReady_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<EntryNode>
+MakeEntryNode(boost::asio::io_context& aContext,
+              EntryNodeOptions aOptions,
+              EntryNodeParts aParts)
+{
+  return std::make_unique<Node>(aContext, std::move(aOptions), aParts);
+}
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/src/hibiscusnotch/entry/event_log.cpp
@@ -0,0 +1,40 @@
+#include "hibiscusnotch/entry/event_log.hpp"
+
+#include "hibiscusnotch/observe/logger.hpp"
+
+#include <algorithm>
+
+namespace hibiscusnotch::entry {
+
+EventLog::EventLog(relay::Timers& aTimers, EventLogOptions aOptions)
+  : timers_(aTimers)
+  , options_(std::move(aOptions))
+  , tokens_(options_.burst)
+  , filledAt_(aTimers.Now())
+{
+}
+
+void
+EventLog::Write(core::EventNumber aNumber, std::string aDetail)
+{
+  const core::TimePoint now = timers_.Now();
+  tokens_ = std::min(options_.burst,
+                     tokens_ + core::Seconds(now - filledAt_) *
+                                 options_.linesPerSecond);
+  filledAt_ = now;
+  if (tokens_ < 1) {
+    ++dropped_;
+    return;
+  }
+  tokens_ -= 1;
+  if (dropped_ > 0 && tokens_ >= 1) {
+    tokens_ -= 1;
+    observe::WriteEvent(
+      options_.source,
+      { core::EventNumber::LinesDropped, "count=" + std::to_string(dropped_) });
+    dropped_ = 0;
+  }
+  observe::WriteEvent(options_.source, { aNumber, std::move(aDetail) });
+}
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -0,0 +1,291 @@
+#include "hibiscusnotch/entry/fleet_sync.hpp"
+
+#include "hibiscusnotch/store/watcher.hpp"
+
+#include <set>
+#include <vector>
+
+namespace hibiscusnotch::entry {
+
+namespace {
+
+using core::EventNumber;
+using store::Change;
+using store::Object;
+using store::StoreFault;
+
+constexpr Duration kSweepStep{ 250'000 };
+constexpr Duration kRegisterAgain{ 1'000'000 };
+
+std::string
+Name(StoreFault aFault)
+{
+  switch (aFault) {
+    case StoreFault::None:
+      return "none";
+    case StoreFault::HistoryGone:
+      return "history_gone";
+    case StoreFault::Conflict:
+      return "conflict";
+    case StoreFault::Missing:
+      return "missing";
+    case StoreFault::Refused:
+      return "refused";
+    case StoreFault::NoAnswer:
+      return "no_answer";
+  }
+  return "no_answer";
+}
+
+class StoreSync : public FleetSync
+{
+public:
+  StoreSync(FleetSyncOptions aOptions, FleetSyncParts aParts)
+    : options_(std::move(aOptions))
+    , parts_(std::move(aParts))
+  {
+    const StoreKinds& kinds = parts_.codec.Kinds();
+    Follow(
+      kinds.configuration,
+      options_.configurationWait,
+      [this](const Object& aObject) { OnConfiguration(aObject); },
+      [](const std::string&) {},
+      [this](TimePoint aTime) {
+        parts_.fleet.configurationConfirmed =
+          std::max(parts_.fleet.configurationConfirmed, aTime);
+      });
+    FollowUpstreams();
+    Follow(
+      kinds.rollouts,
+      options_.otherWait,
+      [this](const Object& aObject) { OnRollout(aObject); },
+      [this](const std::string& aName) {
+        parts_.fleet.rollouts.Remove(aName);
+      });
+    Follow(
+      kinds.evacuations,
+      options_.otherWait,
+      [this](const Object& aObject) { SetZone(aObject.name, true); },
+      [this](const std::string& aName) { SetZone(aName, false); });
+    Follow(
+      kinds.instances,
+      options_.otherWait,
+      [this](const Object& aObject) { OnInstance(aObject); },
+      [this](const std::string& aName) {
+        if (aName != options_.instanceName) {
+          parts_.fleet.instances.erase(aName);
+        }
+      });
+    parts_.fleet.instances[options_.instanceName] = options_.datagrams;
+    Register();
+    Sweep();
+  }
+
+  void Leave() override
+  {
+    leaving_ = true;
+    parts_.store.Delete(parts_.codec.Kinds().instances,
+                        options_.instanceName,
+                        [](std::optional<Object>, StoreFault) {
+                          // The row is only a hint; others count one too many.
+                        });
+  }
+
+private:
+  using ObjectHandler = std::function<void(const Object&)>;
+  using RemovalHandler = std::function<void(const std::string&)>;
+  using ConfirmHandler = std::function<void(TimePoint)>;
+
+  /// Follows a kind; a list also removes what it does not name any more.
+  void Follow(
+    const std::string& aKind,
+    Duration aWait,
+    ObjectHandler aOnObject,
+    RemovalHandler aOnRemoved,
+    ConfirmHandler aOnConfirmed = [](TimePoint) {})
+  {
+    auto known = std::make_shared<std::set<std::string>>();
+    store::WatcherObserver observer;
+    observer.onList =
+      [known, aOnObject, aOnRemoved](const std::vector<Object>& aObjects) {
+        std::set<std::string> names;
+        for (const Object& object : aObjects) {
+          names.insert(object.name);
+          aOnObject(object);
+        }
+        for (const std::string& name : *known) {
+          if (!names.contains(name)) {
+            aOnRemoved(name);
+          }
+        }
+        *known = std::move(names);
+      };
+    observer.onChange = [known, aOnObject, aOnRemoved](const Change& aChange) {
+      if (aChange.removed) {
+        known->erase(aChange.object.name);
+        aOnRemoved(aChange.object.name);
+      } else {
+        known->insert(aChange.object.name);
+        aOnObject(aChange.object);
+      }
+    };
+    observer.onConfirmed = std::move(aOnConfirmed);
+    observer.onLost = [this, aKind](StoreFault aFault) {
+      parts_.log.Write(EventNumber::StoreLost,
+                       "kind=" + aKind + " why=" + Name(aFault));
+    };
+    observer.onRegained = [this, aKind] {
+      parts_.log.Write(EventNumber::StoreRegained, "kind=" + aKind);
+    };
+    watchers_.push_back(store::MakeWatcher(
+      parts_.store, parts_.timers, { aKind, aWait }, std::move(observer)));
+  }
+
+  void FollowUpstreams()
+  {
+    const std::size_t row = watchers_.size();
+    Follow(
+      parts_.codec.Kinds().upstreams,
+      options_.otherWait,
+      [this](const Object& aObject) {
+        parts_.fleet.upstreamsKnown = true;
+        OnUpstream(aObject);
+      },
+      [this, row](const std::string& aName) {
+        const TimePoint now = parts_.timers.Now();
+        const bool mayReturn = watchers_[row]->RecentlyLost(now);
+        parts_.log.Write(EventNumber::UpstreamGone,
+                         "upstream=" + aName +
+                           " may_return=" + (mayReturn ? "yes" : "no"));
+        parts_.fleet.upstreams.Remove(aName, mayReturn, now);
+      },
+      [this](TimePoint) { parts_.fleet.upstreamsKnown = true; });
+  }
+
+  void Unreadable(const std::string& aKind,
+                  const Object& aObject,
+                  const std::string& aReason)
+  {
+    parts_.log.Write(EventNumber::ObjectUnreadable,
+                     "kind=" + aKind + " name=" + aObject.name +
+                       " revision=" + std::to_string(aObject.revision) +
+                       " why=\"" + aReason + '"');
+  }
+
+  void OnConfiguration(const Object& aObject)
+  {
+    std::string reason;
+    auto configuration = parts_.codec.ReadConfiguration(aObject, reason);
+    if (!configuration) {
+      Unreadable(parts_.codec.Kinds().configuration, aObject, reason);
+      return;
+    }
+    const auto& current = parts_.fleet.configuration;
+    if (current && configuration->version <= current->version) {
+      return;
+    }
+    parts_.log.Write(
+      EventNumber::ConfigurationApplied,
+      "version=" + std::to_string(configuration->version) +
+        " routes=" + std::to_string(configuration->routes.size()));
+    parts_.fleet.configuration =
+      std::make_shared<const routing::Configuration>(std::move(*configuration));
+    parts_.onConfiguration();
+  }
+
+  void OnUpstream(const Object& aObject)
+  {
+    std::string reason;
+    const auto entry = parts_.codec.ReadUpstream(aObject, reason);
+    const TimePoint now = parts_.timers.Now();
+    if (!entry) {
+      Unreadable(parts_.codec.Kinds().upstreams, aObject, reason);
+      parts_.fleet.upstreams.Remove(aObject.name, false, now);
+      return;
+    }
+    parts_.log.Write(
+      EventNumber::UpstreamSeen,
+      "upstream=" + entry->name + " service=" + entry->service +
+        " zone=" + entry->zone + " software=" + entry->softwareVersion +
+        " leaving=" + (entry->leaving ? "yes" : "no") +
+        " cold_ms=" + std::to_string(entry->coldFor.count() / 1000) +
+        " revision=" + std::to_string(aObject.revision));
+    parts_.fleet.upstreams.Apply(*entry, now);
+  }
+
+  void OnRollout(const Object& aObject)
+  {
+    std::string reason;
+    const auto order = parts_.codec.ReadRollout(aObject, reason);
+    if (!order) {
+      Unreadable(parts_.codec.Kinds().rollouts, aObject, reason);
+      return;
+    }
+    parts_.log.Write(
+      EventNumber::RolloutOrdered,
+      "service=" + order->service + " target=" + order->target +
+        " state=" + std::to_string(static_cast<int>(order->state)) +
+        " revision=" + std::to_string(order->revision));
+    parts_.fleet.rollouts.Apply(*order, parts_.timers.Now());
+  }
+
+  void SetZone(const std::string& aZone, bool aOut)
+  {
+    parts_.log.Write(aOut ? EventNumber::ZoneTakenOut
+                          : EventNumber::ZoneTakenBack,
+                     "zone=" + aZone);
+    if (aOut) {
+      parts_.fleet.zonesOut.insert(aZone);
+    } else {
+      parts_.fleet.zonesOut.erase(aZone);
+    }
+  }
+
+  void OnInstance(const Object& aObject)
+  {
+    core::Endpoint endpoint;
+    if (aObject.spec.is_object()) {
+      endpoint.address = aObject.spec.value("ip", "");
+      endpoint.port = aObject.spec.value<uint16_t>("port", 0);
+    }
+    parts_.fleet.instances[aObject.name] = endpoint;
+  }
+
+  void Register()
+  {
+    Object row;
+    row.name = options_.instanceName;
+    row.spec = { { "ip", options_.datagrams.address },
+                 { "port", options_.datagrams.port } };
+    parts_.store.Create(
+      parts_.codec.Kinds().instances,
+      row,
+      [this](std::optional<Object> aObject, StoreFault aFault) {
+        const bool there = aObject || aFault == StoreFault::Conflict;
+        if (!there && !leaving_) {
+          parts_.timers.After(kRegisterAgain, [this] { Register(); });
+        }
+      });
+  }
+
+  void Sweep()
+  {
+    parts_.fleet.upstreams.Sweep(parts_.timers.Now());
+    parts_.timers.After(kSweepStep, [this] { Sweep(); });
+  }
+
+  FleetSyncOptions options_;
+  FleetSyncParts parts_;
+  std::vector<std::unique_ptr<store::Watcher>> watchers_;
+  bool leaving_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<FleetSync>
+MakeFleetSync(FleetSyncOptions aOptions, FleetSyncParts aParts)
+{
+  return std::make_unique<StoreSync>(std::move(aOptions), std::move(aParts));
+}
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -0,0 +1,926 @@
+#include "hibiscusnotch/entry/request_router.hpp"
+
+#include "exchange.hpp"
+#include "hibiscusnotch/core/rendezvous.hpp"
+#include "hibiscusnotch/routing/placement.hpp"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace hibiscusnotch::entry {
+
+namespace {
+
+using core::EventNumber;
+using core::Reason;
+using core::UpstreamId;
+using relay::CallEnd;
+using relay::ExchangeId;
+using routing::Repeatability;
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// The answer leaves this long before the caller or the route stops waiting.
+constexpr Duration kAnswerMargin{ 40'000 };
+// With less time than this no upstream can answer.
+constexpr Duration kLeastTime{ 30'000 };
+// How often a request that waits for an upstream looks again.
+constexpr Duration kWaitStep{ 40'000 };
+// A waiting request is refused after this part of its objective, or after the
+// longest wait: one step of most temporary lacks (a restart, a cold start).
+constexpr int kWaitPart = 4;
+constexpr Duration kLongestWait{ 800'000 };
+// A cut stream looks for another upstream this long: callers leave after a gap
+// of two seconds.
+constexpr Duration kResumeWait{ 1'500'000 };
+constexpr Duration kRetryAfterBusy{ 500'000 };    // about one request's work
+constexpr Duration kRetryAfterStale{ 1'000'000 }; // another instance may serve
+constexpr Duration kRetryAfterPoison{ 10'000'000 };
+// Sends beyond the executions allowed: refused ones do not count as such.
+constexpr uint32_t kExtraSends = 3;
+// Answers that are not streams are held back up to this size.
+constexpr std::size_t kMaxHeldBody = 512 * 1024;
+// Bytes of one answer that may wait for a slow caller.
+constexpr std::size_t kMaxPending = 256 * 1024;
+// A crash shows as a broken answer and a refused connection this soon after.
+constexpr Duration kCrashWindow{ 1'000'000 };
+// Part of the retry allowance that escalations may use.
+constexpr double kEscalationShare = 0.85;
+
+std::string
+Milliseconds(Duration aDuration)
+{
+  return std::to_string(aDuration.count() / 1000);
+}
+
+std::string_view
+ReasonPhrase(int aStatus)
+{
+  switch (aStatus) {
+    case kUnauthorized:
+      return "Unauthorized";
+    case kNotFound:
+      return "Not Found";
+    case kBadGateway:
+      return "Bad Gateway";
+    case kGatewayTimeout:
+      return "Gateway Timeout";
+    default:
+      return "Service Unavailable";
+  }
+}
+
+/// A broken attempt whose upstream may turn out to have crashed.
+struct BrokenAttempt
+{
+  UpstreamId upstream;
+  uint64_t fingerprint = 0;
+  TimePoint at{};
+};
+
+class Router : public RequestRouter
+{
+public:
+  Router(RouterOptions aOptions, RouterParts aParts)
+    : options_(std::move(aOptions))
+    , timers_(aParts.timers)
+    , caller_(aParts.caller)
+    , dialect_(aParts.dialect)
+    , fleet_(aParts.fleet)
+    , log_(aParts.log)
+    , metrics_(aParts.metrics)
+  {
+  }
+
+  void SetListener(relay::Listener& aListener) override
+  {
+    listener_ = &aListener;
+  }
+
+  void OnRequest(ExchangeId aId, net::HttpRequest aRequest) override
+  {
+    Exchange& exchange = exchanges_[aId];
+    exchange.id = aId;
+    exchange.request = std::move(aRequest);
+    exchange.facts = dialect_.ReadRequest(exchange.request);
+    exchange.arrivedAt = timers_.Now();
+    exchange.fingerprint =
+      core::MixHash(core::StableHash(exchange.request.target),
+                    core::MixHash(core::StableHash(exchange.facts.key),
+                                  core::StableHash(exchange.request.body)));
+    if (!Admit(exchange)) {
+      return;
+    }
+    const Duration objective = exchange.route.objective;
+    exchange.giveUpWaitingAt =
+      exchange.arrivedAt + std::min(objective / kWaitPart, kLongestWait);
+    exchange.size = routing::FirstSize(exchange.route.models.size());
+    exchange.endTimer =
+      timers_.At(exchange.endBy, [this, aId] { OnTimeUp(aId); });
+    Dispatch(exchange);
+  }
+
+  void OnGone(ExchangeId aId) override
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end()) {
+      return;
+    }
+    log_.Write(EventNumber::CallerLeft, Describe(found->second));
+    Forget(found->second);
+  }
+
+  void OnDrained(ExchangeId aId) override
+  {
+    const auto found = exchanges_.find(aId);
+    if (found != exchanges_.end() && found->second.paused &&
+        found->second.attempt) {
+      found->second.paused = false;
+      caller_.SetPaused(found->second.attempt->call, false);
+    }
+  }
+
+  std::size_t Open() const override { return exchanges_.size(); }
+
+  bool KeysAreFresh() const override
+  {
+    return !options_.enforceKeyRemoval ||
+           timers_.Now() - fleet_.configurationConfirmed <
+             options_.keyFreshness;
+  }
+
+private:
+  std::string Describe(const Exchange& aExchange) const
+  {
+    std::string text = "request=" + aExchange.facts.requestId +
+                       " route=" + aExchange.route.name + " age_ms=" +
+                       Milliseconds(timers_.Now() - aExchange.arrivedAt) +
+                       " runs=" + std::to_string(aExchange.runs) +
+                       " sends=" + std::to_string(aExchange.sends);
+    if (aExchange.attempt) {
+      text += " upstream=" + aExchange.attempt->upstreamName;
+    }
+    return text;
+  }
+
+  std::string ConfigurationAge() const
+  {
+    if (!fleet_.configuration) {
+      return " config=none";
+    }
+    return " config=" + std::to_string(fleet_.configuration->version) +
+           " config_age_ms=" +
+           Milliseconds(timers_.Now() - fleet_.configurationConfirmed);
+  }
+
+  /// Matches route and organisation by the newest configuration. Refuses and
+  /// returns false when the request may not be served.
+  bool Admit(Exchange& aExchange)
+  {
+    const auto& configuration = fleet_.configuration;
+    if (!configuration) {
+      Refuse(aExchange, kUnavailable, Reason::NoConfiguration, kRetryAfterBusy);
+      return false;
+    }
+    const routing::Route* route =
+      configuration->Match(aExchange.facts.host, aExchange.facts.path);
+    if (!route) {
+      RefuseUnknown(aExchange, kNotFound, Reason::UnknownRoute);
+      return false;
+    }
+    aExchange.route = *route;
+    aExchange.priority = route->priority;
+    if (!route->keyless && !configuration->organisations.empty() &&
+        !AdmitKey(aExchange)) {
+      return false;
+    }
+    aExchange.endBy =
+      aExchange.arrivedAt +
+      std::min(route->timeout,
+               aExchange.facts.timeLeft.value_or(route->timeout)) -
+      kAnswerMargin;
+    if (fleet_.quarantine.Holds(aExchange.fingerprint)) {
+      Refuse(aExchange, kUnavailable, Reason::Quarantined, kRetryAfterPoison);
+      return false;
+    }
+    if (aExchange.endBy - timers_.Now() < kLeastTime) {
+      Refuse(aExchange, kUnavailable, Reason::DeadlinePassed, kRetryAfterBusy);
+      return false;
+    }
+    return true;
+  }
+
+  bool AdmitKey(Exchange& aExchange)
+  {
+    const routing::Organisation* organisation =
+      fleet_.configuration->OrganisationOf(aExchange.facts.key);
+    if (!KeysAreFresh()) {
+      Refuse(aExchange, kUnavailable, Reason::KeysTooOld, kRetryAfterStale);
+      return false;
+    }
+    if (!organisation) {
+      RefuseUnknown(aExchange, kUnauthorized, Reason::UnknownKey);
+      return false;
+    }
+    aExchange.organisation = organisation->name;
+    aExchange.priority = organisation->priority.value_or(aExchange.priority);
+    return true;
+  }
+
+  /// Denies only by a configuration that is surely the newest one.
+  void RefuseUnknown(Exchange& aExchange, int aStatus, Reason aReason)
+  {
+    if (KeysAreFresh()) {
+      Refuse(aExchange, aStatus, aReason, Duration::zero());
+    } else {
+      Refuse(aExchange, kUnavailable, Reason::KeysTooOld, kRetryAfterStale);
+    }
+  }
+
+  std::string ServiceFor(const Exchange& aExchange) const
+  {
+    const auto& shares = aExchange.route.services;
+    uint64_t total = 0;
+    for (const routing::TrafficShare& share : shares) {
+      total += share.weight;
+    }
+    if (total == 0) {
+      return shares.empty() ? std::string() : shares.front().service;
+    }
+    uint64_t draw = core::StableHash(aExchange.facts.requestId) % total;
+    for (const routing::TrafficShare& share : shares) {
+      if (draw < share.weight) {
+        return share.service;
+      }
+      draw -= share.weight;
+    }
+    return shares.back().service;
+  }
+
+  /// What must stay on one software version through a roll-out.
+  static uint64_t VersionKey(const Exchange& aExchange)
+  {
+    if (!aExchange.facts.session.empty()) {
+      return core::StableHash(aExchange.facts.session);
+    }
+    if (!aExchange.facts.parts.empty()) {
+      return core::StableHash(aExchange.facts.parts.back().id);
+    }
+    return core::StableHash(aExchange.facts.requestId);
+  }
+
+  routing::PlacementView View() const
+  {
+    return {
+      fleet_.upstreams, fleet_.zonesOut, options_.zone, 1, timers_.Now()
+    };
+  }
+
+  /// This instance's part of what a cold upstream of the service bears.
+  double ColdPart(const std::string& aService) const
+  {
+    const routing::Service* service =
+      fleet_.configuration->FindService(aService);
+    if (!service || service->coldRate <= 0) {
+      return 1e9; // no limit was declared
+    }
+    constexpr double kMargin = 0.8; // requests that arrive bunched together
+    const double fleet =
+      (service->coldRate * options_.coldFactor + options_.coldExtra) * kMargin;
+    return std::max(1.0, fleet / static_cast<double>(fleet_.InstanceCount()));
+  }
+
+  std::optional<UpstreamId> Choose(const Exchange& aExchange,
+                                   std::size_t aSize,
+                                   Reason& aReason) const
+  {
+    const std::string service = ServiceFor(aExchange);
+    const routing::VersionRule rule =
+      fleet_.rollouts.RuleFor(service, VersionKey(aExchange), timers_.Now());
+    routing::PlacementRequest wanted;
+    wanted.service = service;
+    wanted.model = ModelOf(aExchange, aSize);
+    wanted.onlyVersion = rule.only;
+    wanted.exceptVersion = rule.except;
+    wanted.tried = aExchange.tried;
+    wanted.promptTokens = aExchange.facts.promptTokens;
+    const auto& parts = aExchange.facts.parts;
+    if (parts.size() > 1) {
+      wanted.affinityKey = parts[parts.size() - 2].id;
+      for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
+        wanted.sharedTokens += parts[part].tokens;
+      }
+    }
+    routing::PlacementView view = View();
+    view.coldSendsPerSecond = ColdPart(service);
+    auto chosen = routing::Place(view, wanted, aReason);
+    if (!chosen && !rule.only.empty()) {
+      // The new version has no upstream yet; the old ones still serve.
+      wanted.onlyVersion = {};
+      chosen = routing::Place(view, wanted, aReason);
+    }
+    return chosen;
+  }
+
+  static std::string ModelOf(const Exchange& aExchange, std::size_t aSize)
+  {
+    return aSize < aExchange.route.models.size() ? aExchange.route.models[aSize]
+                                                 : aExchange.facts.model;
+  }
+
+  /// Sends the request to an upstream, or lets it wait for one.
+  void Dispatch(Exchange& aExchange)
+  {
+    if (aExchange.sends > 0 && !aExchange.answering && !Admit(aExchange)) {
+      return;
+    }
+    Reason reason = Reason::NoUpstream;
+    const auto chosen = Choose(aExchange, aExchange.size, reason);
+    if (!chosen) {
+      Wait(aExchange, reason);
+      return;
+    }
+    Send(aExchange, *chosen);
+  }
+
+  void Wait(Exchange& aExchange, Reason aReason)
+  {
+    const TimePoint now = timers_.Now();
+    if (now >= aExchange.giveUpWaitingAt) {
+      GiveUp(aExchange, aReason);
+      return;
+    }
+    if (reasonWaits(aReason)) {
+      aExchange.tried.clear();
+    }
+    const ExchangeId id = aExchange.id;
+    aExchange.waitTimer = timers_.After(kWaitStep, [this, id] {
+      const auto found = exchanges_.find(id);
+      if (found != exchanges_.end()) {
+        found->second.waitTimer = 0;
+        Dispatch(found->second);
+      }
+    });
+  }
+
+  /// True when waiting may help an upstream that refused before.
+  static bool reasonWaits(Reason aReason)
+  {
+    return aReason == Reason::NoUpstream;
+  }
+
+  void Send(Exchange& aExchange, UpstreamId aUpstream)
+  {
+    const TimePoint now = timers_.Now();
+    const routing::Upstream& row = *fleet_.upstreams.Find(aUpstream);
+    Attempt attempt;
+    attempt.upstream = aUpstream;
+    attempt.upstreamName = row.entry.name;
+    attempt.service = row.entry.service;
+    attempt.softwareVersion = row.entry.softwareVersion;
+    attempt.model = ModelOf(aExchange, aExchange.size);
+    attempt.sentAt = now;
+    attempt.promptTokens = aExchange.facts.promptTokens;
+    attempt.resumed = aExchange.answering;
+    AttemptFacts facts;
+    facts.timeLeft = aExchange.endBy + kAnswerMargin - now;
+    facts.upstream = row.entry.name;
+    facts.organisation = aExchange.organisation;
+    facts.model = aExchange.route.models.empty() ? "" : attempt.model;
+    facts.priority = aExchange.priority;
+    if (aExchange.answering && !aExchange.events.LastId().empty()) {
+      facts.resumeAfter = aExchange.events.LastId();
+    }
+    relay::OutgoingCall call;
+    call.to = row.entry.endpoint;
+    call.message = dialect_.WriteAttempt(aExchange.request, facts);
+    call.bodyless = aExchange.request.method == "HEAD";
+    call.connectTimeout = ConnectTimeout(aExchange);
+    if (aExchange.sends == 0) {
+      allowances_[attempt.service].CountRequest(now);
+    }
+    ++aExchange.sends;
+    aExchange.tried.push_back(aUpstream);
+    log_.Write(EventNumber::AttemptSent,
+               Describe(aExchange) + " to=" + attempt.upstreamName + " model=" +
+                 attempt.model + " left_ms=" + Milliseconds(facts.timeLeft) +
+                 " own_load=" + std::to_string(row.inFlight) + " load=" +
+                 std::to_string(
+                   static_cast<int>(routing::UpstreamTable::Load(row, now))) +
+                 ConfigurationAge());
+    fleet_.upstreams.CountSend(aUpstream, attempt.promptTokens, now);
+    const ExchangeId id = aExchange.id;
+    relay::CallObserver observer;
+    observer.onHead = [this, id](const relay::ResponseHead& aHead) {
+      OnHead(id, aHead);
+    };
+    observer.onBody = [this, id](std::string_view aBytes) {
+      OnBody(id, aBytes);
+    };
+    observer.onEnd = [this, id](CallEnd aEnd, std::string_view aWhy) {
+      OnEnd(id, aEnd, aWhy);
+    };
+    attempt.call = caller_.Start(std::move(call), std::move(observer));
+    aExchange.attempt = std::move(attempt);
+  }
+
+  static Duration ConnectTimeout(const Exchange& aExchange)
+  {
+    constexpr Duration kLongest{ 250'000 }; // many round trips within a region
+    constexpr Duration kShortest{ 60'000 };
+    return std::clamp(aExchange.route.objective / 8, kShortest, kLongest);
+  }
+
+  void OnHead(ExchangeId aId, const relay::ResponseHead& aHead)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end() || !found->second.attempt) {
+      return;
+    }
+    Exchange& exchange = found->second;
+    Attempt& attempt = *exchange.attempt;
+    attempt.head = aHead;
+    attempt.facts = dialect_.ReadAnswer(aHead);
+    const TimePoint now = timers_.Now();
+    fleet_.upstreams.CountReachable(attempt.upstream);
+    if (attempt.facts.load) {
+      fleet_.upstreams.CountLoad(attempt.upstream, *attempt.facts.load, now);
+    }
+    if (!attempt.facts.notRun && !attempt.facts.otherInstance) {
+      ++exchange.runs;
+      exchange.mayHaveRun = true;
+    }
+    if (!IsSound(exchange, attempt)) {
+      return; // decided when the answer has ended
+    }
+    StopReadingPrompt(attempt);
+    if (exchange.route.repeatability == Repeatability::Stream) {
+      CountSuccess(exchange, attempt);
+      if (!exchange.answering && Escalate(exchange)) {
+        return;
+      }
+      exchange.lastModel = attempt.model;
+      attempt.accepted = true;
+    }
+  }
+
+  /// True for a success that is surely the upstream's answer to this request.
+  bool IsSound(const Exchange& aExchange, const Attempt& aAttempt) const
+  {
+    const int status = aAttempt.head->status;
+    return status / 100 == 2 && aAttempt.facts.sealed &&
+           aAttempt.facts.requestId == aExchange.facts.requestId &&
+           net::FindHeader(aAttempt.head->headers, "Content-Encoding").empty();
+  }
+
+  void StopReadingPrompt(Attempt& aAttempt)
+  {
+    if (aAttempt.reading) {
+      aAttempt.reading = false;
+      fleet_.upstreams.CountFirstOutput(aAttempt.upstream,
+                                        aAttempt.promptTokens);
+    }
+  }
+
+  void CountSuccess(const Exchange& aExchange, const Attempt& aAttempt)
+  {
+    fleet_.upstreams.CountOutcome(aAttempt.upstream, true);
+    CountForRollout(aExchange, aAttempt, true);
+  }
+
+  void CountForRollout(const Exchange& aExchange,
+                       const Attempt& aAttempt,
+                       bool aGood)
+  {
+    fleet_.rollouts.CountAnswer(aAttempt.service,
+                                aAttempt.softwareVersion,
+                                aExchange.route.name,
+                                aExchange.route.name + '/' + aAttempt.model,
+                                aGood,
+                                timers_.Now() - aAttempt.sentAt,
+                                timers_.Now());
+  }
+
+  /// Drops a doubtful answer of a small model for one of a larger model.
+  bool Escalate(Exchange& aExchange)
+  {
+    Attempt& attempt = *aExchange.attempt;
+    const auto next = routing::NextSize(options_.sizes,
+                                        aExchange.route.models.size(),
+                                        aExchange.size,
+                                        attempt.facts.confidence);
+    if (!next || !aExchange.route.Repeatable() ||
+        aExchange.runs >= aExchange.route.maxAttempts) {
+      return false;
+    }
+    const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
+    Reason reason = Reason::NoUpstream;
+    const auto chosen = Choose(aExchange, *next, reason);
+    if (!chosen || !TakeRetry(aExchange, kEscalationShare)) {
+      aExchange.tried = tried;
+      return false;
+    }
+    log_.Write(EventNumber::AnswerEscalated,
+               Describe(aExchange) + " from=" + attempt.model +
+                 " confidence=" + std::to_string(*attempt.facts.confidence) +
+                 " keep_from=" + std::to_string(options_.sizes.keepFrom));
+    EndAttempt(aExchange);
+    aExchange.size = *next;
+    Send(aExchange, *chosen);
+    return true;
+  }
+
+  bool TakeRetry(const Exchange& aExchange, double aShare)
+  {
+    return allowances_[ServiceFor(aExchange)].Take(
+      options_.retries, fleet_.InstanceCount(), aShare, timers_.Now());
+  }
+
+  void OnBody(ExchangeId aId, std::string_view aBytes)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end() || !found->second.attempt) {
+      return;
+    }
+    Exchange& exchange = found->second;
+    Attempt& attempt = *exchange.attempt;
+    if (attempt.accepted) {
+      const std::string events = exchange.events.Feed(aBytes);
+      if (!events.empty()) {
+        Deliver(exchange, events);
+      }
+      return;
+    }
+    attempt.body.append(aBytes);
+    if (attempt.body.size() > kMaxHeldBody) {
+      caller_.Cancel(attempt.call);
+      OnEnd(aId, CallEnd::Broken, "answer too large");
+    }
+  }
+
+  void Deliver(Exchange& aExchange, const std::string& aEvents)
+  {
+    StartAnswer(aExchange);
+    listener_->Write(aExchange.id, aEvents);
+    const auto still = exchanges_.find(aExchange.id);
+    if (still != exchanges_.end() && still->second.attempt &&
+        listener_->Pending(still->first) > kMaxPending) {
+      still->second.paused = true;
+      caller_.SetPaused(still->second.attempt->call, true);
+    }
+  }
+
+  void StartAnswer(Exchange& aExchange)
+  {
+    if (aExchange.answering) {
+      return;
+    }
+    aExchange.answering = true;
+    const relay::ResponseHead& head = *aExchange.attempt->head;
+    metrics_.Observe(observe::Timing::FirstToken,
+                     LabelsOf(aExchange),
+                     timers_.Now() - aExchange.arrivedAt);
+    listener_->Start(aExchange.id,
+                     head.status,
+                     head.reason,
+                     dialect_.AnswerHeaders(head),
+                     relay::Framing::Chunked);
+  }
+
+  static observe::MetricLabels LabelsOf(const Exchange& aExchange)
+  {
+    return { aExchange.organisation, aExchange.route.name };
+  }
+
+  /// Takes the attempt off the books and closes its connection.
+  void EndAttempt(Exchange& aExchange)
+  {
+    if (!aExchange.attempt) {
+      return;
+    }
+    Attempt& attempt = *aExchange.attempt;
+    StopReadingPrompt(attempt);
+    fleet_.upstreams.CountEnd(attempt.upstream);
+    caller_.Cancel(attempt.call);
+    aExchange.attempt.reset();
+  }
+
+  void OnEnd(ExchangeId aId, CallEnd aEnd, std::string_view aWhy)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end() || !found->second.attempt) {
+      return;
+    }
+    Exchange& exchange = found->second;
+    const Attempt attempt = *exchange.attempt;
+    log_.Write(EventNumber::AttemptEnded,
+               Describe(exchange) + " end=" + Name(aEnd) + " status=" +
+                 std::to_string(attempt.head ? attempt.head->status : 0) +
+                 " took_ms=" + Milliseconds(timers_.Now() - attempt.sentAt) +
+                 (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"'));
+    EndAttempt(exchange);
+    exchange.lastModel = attempt.model;
+    exchange.lastVersion = attempt.softwareVersion;
+    switch (aEnd) {
+      case CallEnd::NotSent:
+        OnNotSent(exchange, attempt);
+        return;
+      case CallEnd::Broken:
+        OnBroken(exchange, attempt);
+        return;
+      case CallEnd::Complete:
+        OnComplete(exchange, attempt);
+        return;
+    }
+  }
+
+  static std::string Name(CallEnd aEnd)
+  {
+    switch (aEnd) {
+      case CallEnd::Complete:
+        return "complete";
+      case CallEnd::NotSent:
+        return "not_sent";
+      case CallEnd::Broken:
+        return "broken";
+    }
+    return "broken";
+  }
+
+  void Suspect(const Attempt& aAttempt)
+  {
+    const routing::Service* service =
+      fleet_.configuration ? fleet_.configuration->FindService(aAttempt.service)
+                           : nullptr;
+    fleet_.upstreams.CountUnreachable(aAttempt.upstream,
+                                      service ? service->coldStart
+                                              : Duration::zero(),
+                                      timers_.Now());
+    log_.Write(EventNumber::UpstreamSuspected,
+               "upstream=" + aAttempt.upstreamName);
+  }
+
+  void OnNotSent(Exchange& aExchange, const Attempt& aAttempt)
+  {
+    Suspect(aAttempt);
+    BlameBrokenAttempts(aAttempt.upstream);
+    Retry(aExchange, Reason::UpstreamSuspect, false);
+  }
+
+  void OnBroken(Exchange& aExchange, const Attempt& aAttempt)
+  {
+    if (!aAttempt.head) {
+      // The request left; nobody knows how far it got.
+      ++aExchange.runs;
+      aExchange.mayHaveRun = true;
+    }
+    fleet_.upstreams.CountOutcome(aAttempt.upstream, false);
+    CountForRollout(aExchange, aAttempt, false);
+    broken_.push_back(
+      { aAttempt.upstream, aExchange.fingerprint, timers_.Now() });
+    aExchange.events.DropTail();
+    Retry(aExchange, Reason::AttemptLost, true);
+  }
+
+  /// An upstream refuses connections: whoever broke there may have crashed it.
+  void BlameBrokenAttempts(UpstreamId aUpstream)
+  {
+    const TimePoint now = timers_.Now();
+    std::erase_if(broken_, [&](const BrokenAttempt& aBroken) {
+      if (aBroken.upstream == aUpstream && now - aBroken.at < kCrashWindow) {
+        const uint32_t losses =
+          fleet_.quarantine.CountLoss(aBroken.fingerprint);
+        if (fleet_.quarantine.Holds(aBroken.fingerprint)) {
+          log_.Write(EventNumber::RequestQuarantined,
+                     "fingerprint=" + std::to_string(aBroken.fingerprint) +
+                       " upstreams_lost=" + std::to_string(losses));
+        }
+        return true;
+      }
+      return now - aBroken.at >= kCrashWindow;
+    });
+  }
+
+  void OnComplete(Exchange& aExchange, const Attempt& aAttempt)
+  {
+    if (aAttempt.accepted) {
+      FinishStream(aExchange, aAttempt);
+      return;
+    }
+    const int status = aAttempt.head->status;
+    if (aAttempt.facts.otherInstance) {
+      fleet_.upstreams.CountUnreachable(
+        aAttempt.upstream, Duration::zero(), timers_.Now());
+      Retry(aExchange, Reason::UpstreamLeaving, false);
+      return;
+    }
+    if (aAttempt.facts.notRun) {
+      Retry(aExchange, Reason::CapacityLimit, false);
+      return;
+    }
+    const bool sound = IsSound(aExchange, aAttempt);
+    const bool good = sound || (status < kServerError && status / 100 != 2);
+    fleet_.upstreams.CountOutcome(aAttempt.upstream, good);
+    CountForRollout(aExchange, aAttempt, good);
+    if (sound || (good && aAttempt.facts.sealed)) {
+      Answer(aExchange, *aAttempt.head, aAttempt.body);
+      return;
+    }
+    if (status / 100 != 2 && aAttempt.facts.sealed) {
+      aExchange.held = HeldAnswer{ *aAttempt.head, aAttempt.body };
+    }
+    Retry(aExchange, Reason::UpstreamFailed, true);
+  }
+
+  void FinishStream(Exchange& aExchange, const Attempt& aAttempt)
+  {
+    if (aExchange.events.HasTail()) {
+      aExchange.events.DropTail();
+      Retry(aExchange, Reason::AttemptLost, true);
+      return;
+    }
+    if (!aExchange.answering) {
+      aExchange.attempt = aAttempt;
+      StartAnswer(aExchange);
+      aExchange.attempt.reset();
+    }
+    Finished(aExchange);
+  }
+
+  /// Sends again where that is allowed; gives up where it is not.
+  /// @param aMayHaveRun The last attempt may have been executed.
+  void Retry(Exchange& aExchange, Reason aReason, bool aMayHaveRun)
+  {
+    const routing::Route& route = aExchange.route;
+    const bool allowed = (!aExchange.mayHaveRun || route.Repeatable()) &&
+                         aExchange.runs < route.maxAttempts &&
+                         aExchange.sends < route.maxAttempts + kExtraSends &&
+                         aExchange.endBy - timers_.Now() >= kLeastTime;
+    if (!allowed) {
+      GiveUp(aExchange, aReason);
+      return;
+    }
+    if (aMayHaveRun || aReason == Reason::CapacityLimit) {
+      if (!TakeRetry(aExchange, 1)) {
+        GiveUp(aExchange, Reason::RetryBudget);
+        return;
+      }
+    }
+    if (aExchange.answering) {
+      log_.Write(EventNumber::StreamResumed,
+                 Describe(aExchange) + " after=" + aExchange.events.LastId());
+      aExchange.giveUpWaitingAt = timers_.Now() + kResumeWait;
+    }
+    Dispatch(aExchange);
+  }
+
+  /// The final answer when no attempt can be made any more.
+  void GiveUp(Exchange& aExchange, Reason aReason)
+  {
+    if (aExchange.answering) {
+      Break(aExchange, aReason);
+    } else if (aExchange.held) {
+      const HeldAnswer held = std::move(*aExchange.held);
+      Answer(aExchange, held.head, held.body);
+    } else if (aExchange.mayHaveRun) {
+      Refuse(aExchange, kBadGateway, aReason, Duration::zero());
+    } else {
+      Refuse(aExchange, kUnavailable, aReason, kRetryAfterBusy);
+    }
+  }
+
+  void OnTimeUp(ExchangeId aId)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end()) {
+      return;
+    }
+    Exchange& exchange = found->second;
+    exchange.endTimer = 0;
+    if (exchange.answering) {
+      Break(exchange, Reason::DeadlinePassed);
+      return;
+    }
+    const bool sent = exchange.attempt.has_value() || exchange.mayHaveRun;
+    Refuse(exchange,
+           sent ? kGatewayTimeout : kUnavailable,
+           Reason::DeadlinePassed,
+           sent ? Duration::zero() : kRetryAfterBusy);
+  }
+
+  void Answer(Exchange& aExchange,
+              const relay::ResponseHead& aHead,
+              const std::string& aBody)
+  {
+    net::Headers headers = dialect_.AnswerHeaders(aHead);
+    headers.emplace_back("Content-Length", std::to_string(aBody.size()));
+    const ExchangeId id = aExchange.id;
+    listener_->Start(
+      id, aHead.status, aHead.reason, headers, relay::Framing::Length);
+    metrics_.Observe(observe::Timing::FirstToken,
+                     LabelsOf(aExchange),
+                     timers_.Now() - aExchange.arrivedAt);
+    listener_->Write(id, aBody);
+    const auto still = exchanges_.find(id);
+    if (still != exchanges_.end()) {
+      Finished(still->second);
+    }
+  }
+
+  void Finished(Exchange& aExchange)
+  {
+    const ExchangeId id = aExchange.id;
+    metrics_.Observe(observe::Timing::WholeAnswer,
+                     LabelsOf(aExchange),
+                     timers_.Now() - aExchange.arrivedAt);
+    metrics_.CountAnswer(LabelsOf(aExchange), aExchange.lastVersion);
+    log_.Write(EventNumber::RequestAnswered,
+               Describe(aExchange) + " model=" + aExchange.lastModel +
+                 " events=" + std::to_string(aExchange.events.Events()));
+    Forget(aExchange);
+    listener_->Finish(id);
+  }
+
+  void Refuse(Exchange& aExchange,
+              int aStatus,
+              Reason aReason,
+              Duration aRetryAfter)
+  {
+    const ExchangeId id = aExchange.id;
+    if (aExchange.mayHaveRun && aStatus != kGatewayTimeout) {
+      aStatus = kBadGateway; // the other codes promise that nothing ran
+    }
+    const core::Verdict verdict =
+      aStatus == kBadGateway || aStatus == kGatewayTimeout
+        ? core::Verdict::MayHaveRun
+        : core::Verdict::NotRun;
+    metrics_.CountRefusal(LabelsOf(aExchange),
+                          { verdict, aReason, aRetryAfter });
+    log_.Write(EventNumber::RequestRefused,
+               Describe(aExchange) + " status=" + std::to_string(aStatus) +
+                 " reason=" + std::string(core::ToString(aReason)) +
+                 " verdict=" + std::string(core::ToString(verdict)) +
+                 ConfigurationAge());
+    net::Headers headers = dialect_.OwnHeaders(aExchange.facts, aRetryAfter);
+    const std::string body =
+      "{\"error\":\"" + std::string(core::ToString(aReason)) +
+      "\",\"execution\":\"" + std::string(core::ToString(verdict)) + "\"}";
+    headers.emplace_back("Content-Type", "application/json");
+    headers.emplace_back("Content-Length", std::to_string(body.size()));
+    Forget(aExchange);
+    listener_->Start(
+      id, aStatus, ReasonPhrase(aStatus), headers, relay::Framing::Length);
+    listener_->Write(id, body);
+    listener_->Finish(id);
+  }
+
+  /// Cuts an answer that has begun and cannot be completed.
+  void Break(Exchange& aExchange, Reason aReason)
+  {
+    const ExchangeId id = aExchange.id;
+    log_.Write(EventNumber::AnswerBroken,
+               Describe(aExchange) +
+                 " reason=" + std::string(core::ToString(aReason)) +
+                 " events=" + std::to_string(aExchange.events.Events()));
+    metrics_.CountRefusal(LabelsOf(aExchange),
+                          { core::Verdict::Ran, aReason, Duration::zero() });
+    Forget(aExchange);
+    listener_->Abort(id);
+  }
+
+  void Forget(Exchange& aExchange)
+  {
+    EndAttempt(aExchange);
+    timers_.Cancel(aExchange.endTimer);
+    timers_.Cancel(aExchange.waitTimer);
+    exchanges_.erase(aExchange.id);
+  }
+
+  RouterOptions options_;
+  relay::Timers& timers_;
+  relay::Caller& caller_;
+  const Dialect& dialect_;
+  FleetState& fleet_;
+  EventLog& log_;
+  observe::Metrics& metrics_;
+  relay::Listener* listener_ = nullptr;
+  std::unordered_map<ExchangeId, Exchange> exchanges_;
+  std::map<std::string, routing::RetryAllowance> allowances_;
+  std::vector<BrokenAttempt> broken_;
+};
+
+} // namespace
+
+std::unique_ptr<RequestRouter>
+MakeRequestRouter(RouterOptions aOptions, RouterParts aParts)
+{
+  return std::make_unique<Router>(std::move(aOptions), aParts);
+}
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/src/hibiscusnotch/entry/rollout_duty.cpp
@@ -0,0 +1,177 @@
+#include "hibiscusnotch/entry/rollout_duty.hpp"
+
+#include "hibiscusnotch/core/rendezvous.hpp"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace hibiscusnotch::entry {
+
+namespace {
+
+using core::EventNumber;
+using routing::RolloutOrder;
+using routing::RolloutState;
+using store::Object;
+using store::StoreFault;
+
+constexpr Duration kStep{ 200'000 };
+// Instances of lower rank leave the write to those before them for this long.
+constexpr Duration kRankDelay{ 300'000 };
+constexpr std::size_t kMostRanks = 6; // later ones act together; one wins
+
+std::string
+Name(RolloutState aState)
+{
+  switch (aState) {
+    case RolloutState::Ordered:
+      return "ordered";
+    case RolloutState::Running:
+      return "running";
+    case RolloutState::Succeeded:
+      return "succeeded";
+    case RolloutState::RolledBack:
+      return "rolled_back";
+  }
+  return "ordered";
+}
+
+class StoreDuty : public RolloutDuty
+{
+public:
+  StoreDuty(std::string aInstanceName, RolloutDutyParts aParts)
+    : instanceName_(std::move(aInstanceName))
+    , parts_(aParts)
+  {
+    Step();
+  }
+
+  std::size_t Written() const override { return written_; }
+
+private:
+  struct Intent
+  {
+    RolloutState state = RolloutState::Ordered;
+    TimePoint since{};
+    bool inFlight = false;
+  };
+
+  void Step()
+  {
+    const TimePoint now = parts_.timers.Now();
+    std::vector<std::string> services;
+    for (const auto& [service, trial] : parts_.fleet.rollouts.All()) {
+      services.push_back(service);
+    }
+    for (const std::string& service : services) {
+      Consider(service, now);
+    }
+    parts_.timers.After(kStep, [this] { Step(); });
+  }
+
+  void Consider(const std::string& aService, TimePoint aNow)
+  {
+    const auto wanted = parts_.fleet.rollouts.Wanted(aService, aNow);
+    Intent& intent = intents_[aService];
+    if (!wanted) {
+      intent = Intent{};
+      return;
+    }
+    if (intent.state != *wanted) {
+      intent.state = *wanted;
+      intent.since = aNow;
+    }
+    const RolloutOrder& order = *parts_.fleet.rollouts.Find(aService);
+    const auto delay =
+      static_cast<int64_t>(std::min(kMostRanks, Rank(order))) * kRankDelay;
+    if (!intent.inFlight && aNow - intent.since >= delay) {
+      Write(aService, order, *wanted);
+    }
+  }
+
+  /// This instance's place in an order that all instances agree on.
+  std::size_t Rank(const RolloutOrder& aOrder) const
+  {
+    const uint64_t key =
+      core::MixHash(core::StableHash(aOrder.service), aOrder.creation);
+    const auto weight = [key](const std::string& aName) {
+      return core::MixHash(key, core::StableHash(aName));
+    };
+    const uint64_t own = weight(instanceName_);
+    return static_cast<std::size_t>(
+      std::ranges::count_if(parts_.fleet.instances, [&](const auto& aRow) {
+        return weight(aRow.first) > own;
+      }));
+  }
+
+  void Write(const std::string& aService,
+             const RolloutOrder& aOrder,
+             RolloutState aState)
+  {
+    intents_[aService].inFlight = true;
+    Object object;
+    object.name = aService;
+    object.revision = aOrder.revision;
+    object.status = parts_.codec.WriteRolloutStatus(aOrder, aState);
+    parts_.log.Write(EventNumber::RolloutDecided,
+                     "service=" + aService + " target=" + aOrder.target +
+                       " state=" + Name(aState) +
+                       " revision=" + std::to_string(aOrder.revision));
+    parts_.store.PutStatus(
+      parts_.codec.Kinds().rollouts,
+      object,
+      [this, aService](std::optional<Object> aObject, StoreFault aFault) {
+        intents_[aService].inFlight = false;
+        if (aObject) {
+          ++written_;
+          Take(*aObject);
+          return;
+        }
+        parts_.log.Write(EventNumber::RolloutWriteFailed,
+                         "service=" + aService + " fault=" +
+                           std::to_string(static_cast<int>(aFault)));
+        ReadBack(aService);
+      });
+  }
+
+  /// A lost answer or a race: what the store holds decides.
+  void ReadBack(const std::string& aService)
+  {
+    intents_[aService].inFlight = true;
+    parts_.store.Get(
+      parts_.codec.Kinds().rollouts,
+      aService,
+      [this, aService](std::optional<Object> aObject, StoreFault aFault) {
+        intents_[aService].inFlight = false;
+        if (aObject) {
+          Take(*aObject);
+        } else if (aFault == StoreFault::Missing) {
+          parts_.fleet.rollouts.Remove(aService);
+        }
+      });
+  }
+
+  void Take(const Object& aObject)
+  {
+    std::string reason;
+    if (const auto order = parts_.codec.ReadRollout(aObject, reason)) {
+      parts_.fleet.rollouts.Apply(*order, parts_.timers.Now());
+    }
+  }
+
+  std::string instanceName_;
+  RolloutDutyParts parts_;
+  std::map<std::string, Intent> intents_;
+  std::size_t written_ = 0;
+};
+
+} // namespace
+
+std::unique_ptr<RolloutDuty>
+MakeRolloutDuty(std::string aInstanceName, RolloutDutyParts aParts)
+{
+  return std::make_unique<StoreDuty>(std::move(aInstanceName), aParts);
+}
+
+} // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/observe/logger.cpp
+++ b/src/hibiscusnotch/observe/logger.cpp
@@ -56,13 +56,16 @@
 } // namespace
 
 void
-StartLogging(const core::LogSettings& aSettings)
+StartLogging(const core::LogSettings& aSettings, LogStream aStream)
 {
   const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger(kRoot);
   logger->removeAllAppenders();
   logger->setAdditivity(false);
   logger->addAppender(log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(
-    MakeLayout(aSettings.layout), log4cxx::ConsoleAppender::getSystemErr())));
+    MakeLayout(aSettings.layout),
+    aStream == LogStream::StandardOutput
+      ? log4cxx::ConsoleAppender::getSystemOut()
+      : log4cxx::ConsoleAppender::getSystemErr())));
   logger->setLevel(LevelOf(aSettings.level));
 }
 
--- /dev/null
+++ b/src/hibiscusnotch/relay/caller.cpp
@@ -0,0 +1,231 @@
+#include "hibiscusnotch/relay/caller.hpp"
+
+#include "socket_io.hpp"
+
+#include <unordered_map>
+
+namespace hibiscusnotch::relay {
+
+namespace {
+
+struct CallRow
+{
+  explicit CallRow(boost::asio::io_context& aContext)
+    : socket(aContext)
+  {
+  }
+
+  tcp::socket socket;
+  std::string out;
+  std::size_t written = 0;
+  std::string in;
+  std::unique_ptr<ResponseReader> reader;
+  CallObserver observer;
+  TimerId connectTimer = 0;
+  bool connected = false;
+  bool headReported = false;
+  bool paused = false;
+  bool waitingRead = false;
+};
+
+class ConnectionPerCall : public Caller
+{
+public:
+  ConnectionPerCall(boost::asio::io_context& aContext, Timers& aTimers)
+    : context_(aContext)
+    , timers_(aTimers)
+  {
+  }
+
+  CallId Start(OutgoingCall aCall, CallObserver aObserver) override
+  {
+    const CallId id = ++last_;
+    CallRow& row = rows_.try_emplace(id, context_).first->second;
+    row.out = std::move(aCall.message);
+    row.reader = MakeResponseReader(aCall.bodyless);
+    row.observer = std::move(aObserver);
+    row.connectTimer = timers_.After(aCall.connectTimeout, [this, id] {
+      End(id, CallEnd::NotSent, "connect timed out");
+    });
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(aCall.to.address, error);
+    if (!error) {
+      row.socket.open(tcp::v4(), error);
+    }
+    if (error) {
+      const std::string why = error.message();
+      timers_.After(Duration::zero(),
+                    [this, id, why] { End(id, CallEnd::NotSent, why); });
+      return id;
+    }
+    PrepareSocket(row.socket);
+    row.socket.async_connect(
+      tcp::endpoint(address, aCall.to.port),
+      [this, id](const boost::system::error_code& aError) {
+        OnConnected(id, aError);
+      });
+    return id;
+  }
+
+  void Cancel(CallId aCall) override
+  {
+    const auto row = rows_.find(aCall);
+    if (row != rows_.end()) {
+      timers_.Cancel(row->second.connectTimer);
+      rows_.erase(row);
+    }
+  }
+
+  void SetPaused(CallId aCall, bool aPaused) override
+  {
+    if (CallRow* row = Find(aCall)) {
+      row->paused = aPaused;
+      if (!aPaused && row->connected) {
+        AwaitRead(aCall, *row);
+      }
+    }
+  }
+
+  std::size_t Open() const override { return rows_.size(); }
+
+private:
+  CallRow* Find(CallId aCall)
+  {
+    const auto row = rows_.find(aCall);
+    return row == rows_.end() ? nullptr : &row->second;
+  }
+
+  void OnConnected(CallId aCall, const boost::system::error_code& aError)
+  {
+    CallRow* row = Find(aCall);
+    if (!row) {
+      return;
+    }
+    timers_.Cancel(row->connectTimer);
+    if (aError) {
+      End(aCall, CallEnd::NotSent, aError.message());
+      return;
+    }
+    row->connected = true;
+    Write(aCall);
+    if (CallRow* still = Find(aCall)) {
+      AwaitRead(aCall, *still);
+    }
+  }
+
+  void Write(CallId aCall)
+  {
+    CallRow* row = Find(aCall);
+    if (!row) {
+      return;
+    }
+    boost::system::error_code error;
+    const bool all = WriteSome(row->socket, row->out, row->written, error);
+    if (error) {
+      // The answer may already be here: an upstream may refuse early.
+      return;
+    }
+    if (!all) {
+      row->socket.async_wait(
+        tcp::socket::wait_write,
+        [this, aCall](const boost::system::error_code& aWaitError) {
+          if (!aWaitError) {
+            Write(aCall);
+          }
+        });
+    }
+  }
+
+  void AwaitRead(CallId aCall, CallRow& aRow)
+  {
+    if (aRow.waitingRead || aRow.paused) {
+      return;
+    }
+    aRow.waitingRead = true;
+    aRow.socket.async_wait(
+      tcp::socket::wait_read,
+      [this, aCall](const boost::system::error_code& aError) {
+        CallRow* row = Find(aCall);
+        if (!row) {
+          return;
+        }
+        row->waitingRead = false;
+        if (aError) {
+          End(aCall, CallEnd::Broken, aError.message());
+        } else if (!row->paused) {
+          OnReadable(aCall, *row);
+        }
+      });
+  }
+
+  void OnReadable(CallId aCall, CallRow& aRow)
+  {
+    boost::system::error_code error;
+    ReadSome(aRow.socket, aRow.in, error);
+    ReadState state = aRow.reader->Read(aRow.in);
+    if (error == boost::asio::error::eof && state == ReadState::NeedMore) {
+      state = aRow.reader->ReadEnd();
+    } else if (error && state == ReadState::NeedMore) {
+      state = ReadState::Malformed;
+    }
+    const std::string why = error ? error.message() : "malformed response";
+    if (!Report(aCall, aRow)) {
+      return;
+    }
+    if (state == ReadState::Complete) {
+      End(aCall, CallEnd::Complete, "");
+    } else if (state == ReadState::Malformed) {
+      End(aCall, CallEnd::Broken, why);
+    } else {
+      AwaitRead(aCall, *Find(aCall));
+    }
+  }
+
+  /// Reports head and body; false when the observer cancelled the call.
+  bool Report(CallId aCall, CallRow& aRow)
+  {
+    if (!aRow.headReported && aRow.reader->HasHead()) {
+      aRow.headReported = true;
+      const auto onHead = aRow.observer.onHead;
+      onHead(aRow.reader->Head());
+    }
+    CallRow* row = Find(aCall);
+    if (!row) {
+      return false;
+    }
+    const std::string body = row->reader->TakeBody();
+    if (!body.empty()) {
+      const auto onBody = row->observer.onBody;
+      onBody(body);
+    }
+    return Find(aCall) != nullptr;
+  }
+
+  void End(CallId aCall, CallEnd aEnd, std::string_view aWhy)
+  {
+    auto row = rows_.extract(aCall);
+    if (row.empty()) {
+      return;
+    }
+    timers_.Cancel(row.mapped().connectTimer);
+    boost::system::error_code ignored;
+    row.mapped().socket.close(ignored);
+    const std::string why(aWhy);
+    row.mapped().observer.onEnd(aEnd, why);
+  }
+
+  boost::asio::io_context& context_;
+  Timers& timers_;
+  std::unordered_map<CallId, CallRow> rows_;
+  CallId last_ = 0;
+};
+
+} // namespace
+
+std::unique_ptr<Caller>
+MakeCaller(boost::asio::io_context& aContext, Timers& aTimers)
+{
+  return std::make_unique<ConnectionPerCall>(aContext, aTimers);
+}
+
+} // namespace hibiscusnotch::relay
--- /dev/null
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -0,0 +1,329 @@
+#include "hibiscusnotch/relay/http_reader.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <optional>
+
+namespace hibiscusnotch::relay {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using View = boost::beast::string_view;
+
+constexpr int kBadRequest = 400;
+constexpr int kTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+constexpr std::size_t kMaxResponseHeader =
+  64 * 1024; // far above any upstream's
+
+bool
+EqualNoCase(std::string_view aLeft, std::string_view aRight)
+{
+  return boost::beast::iequals(View(aLeft.data(), aLeft.size()),
+                               View(aRight.data(), aRight.size()));
+}
+
+/// Collects one message from Beast's callbacks.
+template<bool IsRequest>
+class Collector : public http::basic_parser<IsRequest>
+{
+public:
+  std::string method;
+  std::string target;
+  int status = 0;
+  std::string reason;
+  net::Headers headers;
+  std::string body;
+  bool headerDone = false;
+
+private:
+  void on_request_impl(http::verb /*aVerb*/,
+                       View aMethod,
+                       View aTarget,
+                       int /*aVersion*/,
+                       error_code& aError) override
+  {
+    aError = {};
+    method.assign(aMethod.data(), aMethod.size());
+    target.assign(aTarget.data(), aTarget.size());
+  }
+  void on_response_impl(int aCode,
+                        View aReason,
+                        int /*aVersion*/,
+                        error_code& aError) override
+  {
+    aError = {};
+    status = aCode;
+    reason.assign(aReason.data(), aReason.size());
+  }
+  void on_field_impl(http::field /*aField*/,
+                     View aName,
+                     View aValue,
+                     error_code& aError) override
+  {
+    aError = {};
+    headers.emplace_back(std::string(aName.data(), aName.size()),
+                         std::string(aValue.data(), aValue.size()));
+  }
+  void on_header_impl(error_code& aError) override
+  {
+    aError = {};
+    headerDone = true;
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+                         error_code& aError) override
+  {
+    aError = {};
+  }
+  std::size_t on_body_impl(View aBody, error_code& aError) override
+  {
+    aError = {};
+    body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*aSize*/,
+                            View /*aExtensions*/,
+                            error_code& aError) override
+  {
+    aError = {};
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t /*aRemain*/,
+                                 View aBody,
+                                 error_code& aError) override
+  {
+    aError = {};
+    body.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_finish_impl(error_code& aError) override { aError = {}; }
+};
+
+/// True when every line ends in CR LF and none continues the one before.
+bool
+LinesAreStrict(std::string_view aHeader)
+{
+  for (std::size_t at = aHeader.find('\n'); at != std::string_view::npos;
+       at = aHeader.find('\n', at + 1)) {
+    if (at == 0 || aHeader[at - 1] != '\r') {
+      return false;
+    }
+    const char next = at + 1 < aHeader.size() ? aHeader[at + 1] : '\r';
+    if (next == ' ' || next == '\t') {
+      return false;
+    }
+  }
+  return aHeader.find('\0') == std::string_view::npos;
+}
+
+std::size_t
+CountHeader(const net::Headers& aHeaders, std::string_view aName)
+{
+  std::size_t count = 0;
+  for (const auto& [name, value] : aHeaders) {
+    count += EqualNoCase(name, aName) ? 1 : 0;
+  }
+  return count;
+}
+
+class StrictRequestReader : public RequestReader
+{
+public:
+  explicit StrictRequestReader(const RequestLimits& aLimits)
+    : limits_(aLimits)
+  {
+    Restart();
+  }
+
+  ReadState Read(std::string& aBuffer) override
+  {
+    if (fault_ != 0) {
+      return ReadState::Malformed;
+    }
+    if (!parser_->headerDone && !HeaderReady(aBuffer)) {
+      return fault_ == 0 ? ReadState::NeedMore : ReadState::Malformed;
+    }
+    while (!aBuffer.empty() && !parser_->is_done()) {
+      error_code error;
+      const std::size_t taken =
+        parser_->put(boost::asio::buffer(aBuffer), error);
+      aBuffer.erase(0, taken);
+      if (error == http::error::need_more) {
+        break;
+      }
+      if (error) {
+        return Fail(error == http::error::body_limit ? kTooLarge : kBadRequest);
+      }
+      if (parser_->headerDone && !HeaderIsSound()) {
+        return Fail(kBadRequest);
+      }
+    }
+    return parser_->is_done() ? ReadState::Complete : ReadState::NeedMore;
+  }
+
+  net::HttpRequest Take() override
+  {
+    net::HttpRequest request{ std::move(parser_->method),
+                              std::move(parser_->target),
+                              std::move(parser_->headers),
+                              std::move(parser_->body) };
+    keepAlive_ = parser_->keep_alive();
+    Restart();
+    return request;
+  }
+
+  bool WaitsForBody() const override
+  {
+    return parser_->headerDone && !parser_->is_done();
+  }
+  bool KeepAlive() const override { return keepAlive_; }
+  bool ExpectsContinue() const override
+  {
+    return WaitsForBody() &&
+           EqualNoCase(net::FindHeader(parser_->headers, "Expect"),
+                       "100-continue");
+  }
+  int Fault() const override { return fault_; }
+
+private:
+  void Restart()
+  {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
+    parser_->body_limit(limits_.maxBodyBytes);
+  }
+
+  ReadState Fail(int aStatus)
+  {
+    fault_ = aStatus;
+    return ReadState::Malformed;
+  }
+
+  bool HeaderReady(std::string& aBuffer)
+  {
+    while (aBuffer.starts_with("\r\n")) {
+      aBuffer.erase(0, 2);
+    }
+    const std::size_t end = aBuffer.find(kHeaderEnd);
+    if (end == std::string::npos) {
+      if (aBuffer.size() > limits_.maxHeaderBytes) {
+        fault_ = kHeaderTooLarge;
+      } else if (aBuffer.find("\n\n") != std::string::npos) {
+        fault_ = kBadRequest;
+      }
+      return false;
+    }
+    if (end + kHeaderEnd.size() > limits_.maxHeaderBytes) {
+      fault_ = kHeaderTooLarge;
+      return false;
+    }
+    if (!LinesAreStrict(std::string_view(aBuffer).substr(0, end + 2))) {
+      fault_ = kBadRequest;
+      return false;
+    }
+    return true;
+  }
+
+  bool HeaderIsSound() const
+  {
+    const net::Headers& headers = parser_->headers;
+    const std::string_view coding =
+      net::FindHeader(headers, "Transfer-Encoding");
+    const std::size_t lengths = CountHeader(headers, "Content-Length");
+    return CountHeader(headers, "Host") == 1 && lengths <= 1 &&
+           CountHeader(headers, "Transfer-Encoding") <= 1 &&
+           (coding.empty() || (EqualNoCase(coding, "chunked") && lengths == 0));
+  }
+
+  RequestLimits limits_;
+  std::optional<Collector<true>> parser_;
+  bool keepAlive_ = true;
+  int fault_ = 0;
+};
+
+class StrictResponseReader : public ResponseReader
+{
+public:
+  explicit StrictResponseReader(bool aBodyless)
+  {
+    parser_.eager(true);
+    parser_.skip(aBodyless);
+    parser_.header_limit(kMaxResponseHeader);
+    parser_.body_limit(boost::none);
+  }
+
+  ReadState Read(std::string& aBuffer) override
+  {
+    while (!aBuffer.empty() && !parser_.is_done() && !malformed_) {
+      error_code error;
+      const std::size_t taken =
+        parser_.put(boost::asio::buffer(aBuffer), error);
+      aBuffer.erase(0, taken);
+      FillHead();
+      if (error == http::error::need_more) {
+        break;
+      }
+      malformed_ = malformed_ || error;
+    }
+    return State();
+  }
+
+  ReadState ReadEnd() override
+  {
+    if (!parser_.headerDone) {
+      malformed_ = true;
+    } else if (!parser_.is_done()) {
+      error_code error;
+      parser_.put_eof(error);
+      malformed_ = malformed_ || error;
+    }
+    return State();
+  }
+
+  bool HasHead() const override { return parser_.headerDone; }
+  const ResponseHead& Head() const override { return head_; }
+  std::string TakeBody() override { return std::exchange(parser_.body, {}); }
+
+private:
+  ReadState State() const
+  {
+    if (malformed_) {
+      return ReadState::Malformed;
+    }
+    return parser_.is_done() ? ReadState::Complete : ReadState::NeedMore;
+  }
+
+  void FillHead()
+  {
+    if (parser_.headerDone && head_.status == 0) {
+      head_.status = parser_.status;
+      head_.reason = parser_.reason;
+      head_.headers = parser_.headers;
+      head_.hasLength = !parser_.need_eof();
+    }
+  }
+
+  Collector<false> parser_;
+  ResponseHead head_;
+  bool malformed_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<RequestReader>
+MakeRequestReader(const RequestLimits& aLimits)
+{
+  return std::make_unique<StrictRequestReader>(aLimits);
+}
+
+std::unique_ptr<ResponseReader>
+MakeResponseReader(bool aBodyless)
+{
+  return std::make_unique<StrictResponseReader>(aBodyless);
+}
+
+} // namespace hibiscusnotch::relay
--- /dev/null
+++ b/src/hibiscusnotch/routing/configuration.cpp
@@ -0,0 +1,52 @@
+#include "hibiscusnotch/routing/configuration.hpp"
+
+#include <algorithm>
+
+namespace hibiscusnotch::routing {
+
+void
+Configuration::Index()
+{
+  routesByHost_.clear();
+  for (std::size_t row = 0; row < routes.size(); ++row) {
+    routesByHost_[routes[row].host].push_back(row);
+  }
+  for (auto& [host, rows] : routesByHost_) {
+    std::ranges::stable_sort(rows,
+                             [this](std::size_t aLeft, std::size_t aRight) {
+                               return routes[aLeft].pathPrefix.size() >
+                                      routes[aRight].pathPrefix.size();
+                             });
+  }
+}
+
+const Route*
+Configuration::Match(std::string_view aHost, std::string_view aPath) const
+{
+  const auto found = routesByHost_.find(aHost);
+  if (found == routesByHost_.end()) {
+    return nullptr;
+  }
+  for (const std::size_t row : found->second) {
+    if (aPath.starts_with(routes[row].pathPrefix)) {
+      return &routes[row];
+    }
+  }
+  return nullptr;
+}
+
+const Organisation*
+Configuration::OrganisationOf(std::string_view aKey) const
+{
+  const auto found = keys.find(aKey);
+  return found == keys.end() ? nullptr : &organisations[found->second];
+}
+
+const Service*
+Configuration::FindService(std::string_view aName) const
+{
+  const auto found = services.find(aName);
+  return found == services.end() ? nullptr : &found->second;
+}
+
+} // namespace hibiscusnotch::routing
--- /dev/null
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -0,0 +1,186 @@
+#include "hibiscusnotch/routing/placement.hpp"
+
+#include "hibiscusnotch/core/rendezvous.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace hibiscusnotch::routing {
+
+namespace {
+
+// All costs below are in prompt tokens that an upstream could read meanwhile.
+constexpr double kTokensPerRunning = 180; // a running request's decode steps
+constexpr double kTokensPerPlainRequest = 1000; // one slot of a plain service
+constexpr double kOtherZoneTokens = 1500; // bytes between zones are priced
+constexpr double kSuspectTokens = 1e7;    // only when nothing else is left
+constexpr double kFailingTokens = 1e5;    // fails much more than its peers
+constexpr double kLapsedTokens = 1e6;     // its entry may be stale
+constexpr double kFailingMargin = 0.3;    // share above the service's mean
+constexpr double kFewestOutcomes = 4;     // before a failure share counts
+constexpr std::size_t kCandidates = 2;    // homes of one shared prompt part
+
+struct Candidate
+{
+  UpstreamId id;
+  const Upstream* row = nullptr;
+  uint64_t weight = 0; ///< Rendezvous weight for the affinity key.
+};
+
+bool
+VersionFits(std::string_view aVersion, const PlacementRequest& aRequest)
+{
+  if (!aRequest.exceptVersion.empty() && aVersion == aRequest.exceptVersion) {
+    return false;
+  }
+  return aRequest.onlyVersion.empty() || aVersion == aRequest.onlyVersion;
+}
+
+double
+MeanFailureShare(std::span<const Candidate> aCandidates)
+{
+  double sum = 0;
+  double count = 0;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.row->outcomes >= kFewestOutcomes) {
+      sum += candidate.row->failureShare;
+      count += 1;
+    }
+  }
+  return count > 0 ? sum / count : 0;
+}
+
+double
+CostOf(const Candidate& aCandidate,
+       const PlacementView& aView,
+       const PlacementRequest& aRequest,
+       bool aCached,
+       double aMeanFailures)
+{
+  const Upstream& row = *aCandidate.row;
+  const double load = UpstreamTable::Load(row, aView.now);
+  double cost = 0;
+  if (aRequest.model.empty()) {
+    cost = load * kTokensPerPlainRequest;
+  } else {
+    cost = row.pendingTokens + load * kTokensPerRunning +
+           (aCached ? 0 : aRequest.sharedTokens);
+    const double free = row.entry.slots - load;
+    if (free < 1) {
+      cost += (1 - free) * 10 * kTokensPerRunning;
+    }
+  }
+  if (row.entry.zone != aView.homeZone) {
+    cost += kOtherZoneTokens;
+  }
+  if (aView.now < row.suspectUntil) {
+    cost += kSuspectTokens;
+  }
+  if (row.lapsed) {
+    cost += kLapsedTokens;
+  }
+  if (row.outcomes >= kFewestOutcomes &&
+      row.failureShare > aMeanFailures + kFailingMargin) {
+    cost += kFailingTokens;
+  }
+  return cost;
+}
+
+/// Marks the homes of the key in one zone: the highest rendezvous weights.
+std::vector<UpstreamId>
+CachedHomes(std::span<const Candidate> aCandidates, std::string_view aZone)
+{
+  std::vector<const Candidate*> local;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.row->entry.zone == aZone) {
+      local.push_back(&candidate);
+    }
+  }
+  std::ranges::sort(local, [](const Candidate* aLeft, const Candidate* aRight) {
+    return aLeft->weight > aRight->weight;
+  });
+  std::vector<UpstreamId> homes;
+  for (std::size_t rank = 0; rank < std::min(kCandidates, local.size());
+       ++rank) {
+    homes.push_back(local[rank]->id);
+  }
+  return homes;
+}
+
+} // namespace
+
+bool
+Eligible(const PlacementView& aView,
+         const Upstream& aUpstream,
+         core::Reason& aLastReason)
+{
+  if (aUpstream.gone || aUpstream.entry.leaving || aUpstream.leavingSeen) {
+    aLastReason = core::Reason::UpstreamLeaving;
+    return false;
+  }
+  if (aUpstream.lapsed &&
+      aView.now - *aUpstream.lapsed >= UpstreamTable::kLapseGrace) {
+    aLastReason = core::Reason::UpstreamLeaving;
+    return false;
+  }
+  if (aView.zonesOut.contains(aUpstream.entry.zone)) {
+    aLastReason = core::Reason::ZoneOut;
+    return false;
+  }
+  if (aView.now < aUpstream.coldUntil) {
+    const auto recent =
+      std::ranges::count_if(aUpstream.recentSends, [&aView](TimePoint aSent) {
+        return aView.now - aSent <= Duration{ 1'000'000 };
+      });
+    if (static_cast<double>(recent) + 1 > aView.coldSendsPerSecond) {
+      aLastReason = core::Reason::ColdStartLimit;
+      return false;
+    }
+  }
+  return true;
+}
+
+std::optional<UpstreamId>
+Place(const PlacementView& aView,
+      const PlacementRequest& aRequest,
+      core::Reason& aLastReason)
+{
+  aLastReason = core::Reason::NoUpstream;
+  const uint64_t key = core::MixHash(core::StableHash(aRequest.affinityKey),
+                                     core::StableHash(aRequest.model));
+  std::vector<Candidate> candidates;
+  for (const auto& [id, row] : aView.upstreams.Rows()) {
+    if (row.entry.service != aRequest.service ||
+        !VersionFits(row.entry.softwareVersion, aRequest) ||
+        std::ranges::find(aRequest.tried, id) != aRequest.tried.end() ||
+        !Eligible(aView, row, aLastReason)) {
+      continue;
+    }
+    candidates.push_back(
+      { id, &row, core::MixHash(key, core::StableHash(row.entry.name)) });
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  std::vector<UpstreamId> homes;
+  if (!aRequest.affinityKey.empty()) {
+    homes = CachedHomes(candidates, aView.homeZone);
+  }
+  const double meanFailures = MeanFailureShare(candidates);
+  const Candidate* best = nullptr;
+  double bestCost = 0;
+  for (const Candidate& candidate : candidates) {
+    const bool cached = std::ranges::find(homes, candidate.id) != homes.end();
+    const double cost =
+      CostOf(candidate, aView, aRequest, cached, meanFailures);
+    // Equal costs are split by the key's weight, so instances do not herd.
+    if (!best || cost < bestCost ||
+        (cost == bestCost && candidate.weight > best->weight)) {
+      best = &candidate;
+      bestCost = cost;
+    }
+  }
+  return best->id;
+}
+
+} // namespace hibiscusnotch::routing
--- /dev/null
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -0,0 +1,252 @@
+#include "hibiscusnotch/routing/rollout.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hibiscusnotch::routing {
+
+namespace {
+
+// The schedule, in parts of the order's duration. Sessions stay where they
+// are through the first half, so the share grows only after it.
+constexpr double kTrialShare = 0.06; // of requests; the bound is 0.12 and more
+constexpr double kGrowFrom = 0.52;
+constexpr double kGrowShare = 0.4;
+constexpr double kFullFrom = 0.6;
+constexpr double kSucceedFrom = 0.72;
+
+constexpr double kEvidenceHalfLife = 8;       // seconds
+constexpr double kLeastNormalFailures = 0.02; // share, when none was seen yet
+constexpr double kAlarmingRise = 0.25;        // of the failure share
+constexpr double kAlarmLevel = 3.5;           // log-likelihood ratio
+constexpr double kSlowFactor = 3.5;       // against the other versions' mean
+constexpr double kSlowLeastSeconds = 0.1; // below it a delay is not felt
+constexpr uint32_t kLatencySamples = 5;   // before a mean is compared with
+constexpr double kLatencyWeight = 0.1;
+
+/// Evidence that failures rose, against what the other versions show.
+double
+Alarm(const AnswerCounts& aTarget, const AnswerCounts& aOthers)
+{
+  const double normal = std::clamp(
+    aOthers.Total() > 0 ? aOthers.bad / (aOthers.Total() + 1) * 1.2 : 0.0,
+    kLeastNormalFailures,
+    0.7);
+  const double risen = std::min(0.95, normal + kAlarmingRise);
+  return aTarget.bad * std::log(risen / normal) +
+         aTarget.good * std::log((1 - risen) / (1 - normal));
+}
+
+void
+Add(AnswerCounts& aSum, const AnswerCounts& aPart)
+{
+  aSum.good += aPart.good;
+  aSum.bad += aPart.bad;
+}
+
+} // namespace
+
+void
+Rollouts::Apply(const RolloutOrder& aOrder, TimePoint aNow)
+{
+  Trial& trial = trials_[aOrder.service];
+  if (trial.order.creation != aOrder.creation) {
+    trial = Trial{};
+    trial.seenAt = aNow;
+    trial.decayedAt = aNow;
+    trial.own.creation = aOrder.creation;
+  } else if (trial.order.revision > aOrder.revision) {
+    return;
+  }
+  trial.order = aOrder;
+}
+
+void
+Rollouts::Remove(std::string_view aService)
+{
+  const auto trial = trials_.find(aService);
+  if (trial != trials_.end()) {
+    trials_.erase(trial);
+  }
+}
+
+double
+Rollouts::ExposureAt(const Trial& aTrial, TimePoint aNow)
+{
+  const double part = core::Seconds(aNow - aTrial.seenAt) /
+                      std::max(0.001, core::Seconds(aTrial.order.duration));
+  if (part < kGrowFrom) {
+    return kTrialShare;
+  }
+  return part < kFullFrom ? kGrowShare : 1.0;
+}
+
+VersionRule
+Rollouts::RuleFor(std::string_view aService,
+                  uint64_t aStableHash,
+                  TimePoint aNow) const
+{
+  const auto found = trials_.find(aService);
+  if (found == trials_.end()) {
+    return {};
+  }
+  const Trial& trial = found->second;
+  const std::string& target = trial.order.target;
+  if (trial.order.state == RolloutState::Succeeded) {
+    return { target, "" };
+  }
+  if (trial.order.state == RolloutState::RolledBack || trial.bad) {
+    return { "", target };
+  }
+  constexpr double kHashRange = 18446744073709551616.0; // 2 to the 64th
+  const double draw = static_cast<double>(aStableHash) / kHashRange;
+  return draw < ExposureAt(trial, aNow) ? VersionRule{ target, "" }
+                                        : VersionRule{ "", target };
+}
+
+void
+Rollouts::Decay(Trial& aTrial, TimePoint aNow)
+{
+  const double seconds = core::Seconds(aNow - aTrial.decayedAt);
+  if (seconds < 0.5) {
+    return;
+  }
+  aTrial.decayedAt = aNow;
+  const double factor = std::exp2(-seconds / kEvidenceHalfLife);
+  for (auto* counts : { &aTrial.own.target, &aTrial.own.others }) {
+    for (auto& [route, count] : *counts) {
+      count.good *= factor;
+      count.bad *= factor;
+    }
+  }
+}
+
+void
+Rollouts::CountAnswer(std::string_view aService,
+                      std::string_view aVersion,
+                      std::string_view aRoute,
+                      std::string_view aGroup,
+                      bool aGood,
+                      Duration aLatency,
+                      TimePoint aNow)
+{
+  const auto found = trials_.find(aService);
+  if (found == trials_.end()) {
+    return;
+  }
+  Trial& trial = found->second;
+  Decay(trial, aNow);
+  const bool target = aVersion == trial.order.target;
+  const double seconds = core::Seconds(aLatency);
+  bool good = aGood;
+  const std::string group(aGroup);
+  Latency& others = trial.othersLatency[group];
+  if (target && others.count >= kLatencySamples &&
+      seconds > kSlowLeastSeconds && seconds > kSlowFactor * others.mean) {
+    good = false;
+  }
+  if (!target && aGood) {
+    ++others.count;
+    const double weight = std::max(kLatencyWeight, 1.0 / others.count);
+    others.mean += weight * (seconds - others.mean);
+  }
+  auto& counts = target ? trial.own.target : trial.own.others;
+  AnswerCounts& count = counts[std::string(aRoute)];
+  (good ? count.good : count.bad) += 1;
+}
+
+std::map<std::string, RolloutEvidence>
+Rollouts::OwnEvidence(TimePoint aNow)
+{
+  std::map<std::string, RolloutEvidence> evidence;
+  for (auto& [service, trial] : trials_) {
+    if (trial.order.state == RolloutState::Ordered ||
+        trial.order.state == RolloutState::Running) {
+      Decay(trial, aNow);
+      evidence.emplace(service, trial.own);
+    }
+  }
+  return evidence;
+}
+
+void
+Rollouts::TakeEvidence(std::string_view aService,
+                       std::string_view aInstance,
+                       const RolloutEvidence& aEvidence)
+{
+  const auto trial = trials_.find(aService);
+  if (trial != trials_.end() &&
+      trial->second.order.creation == aEvidence.creation) {
+    trial->second.peers[std::string(aInstance)] = aEvidence;
+  }
+}
+
+bool
+Rollouts::LooksBad(const Trial& aTrial)
+{
+  std::map<std::string, AnswerCounts> target = aTrial.own.target;
+  std::map<std::string, AnswerCounts> others = aTrial.own.others;
+  for (const auto& [instance, evidence] : aTrial.peers) {
+    for (const auto& [route, counts] : evidence.target) {
+      Add(target[route], counts);
+    }
+    for (const auto& [route, counts] : evidence.others) {
+      Add(others[route], counts);
+    }
+  }
+  AnswerCounts allTarget;
+  AnswerCounts allOthers;
+  for (const auto& [route, counts] : target) {
+    if (Alarm(counts, others[route]) > kAlarmLevel) {
+      return true;
+    }
+    Add(allTarget, counts);
+    Add(allOthers, others[route]);
+  }
+  return Alarm(allTarget, allOthers) > kAlarmLevel;
+}
+
+std::optional<RolloutState>
+Rollouts::Wanted(std::string_view aService, TimePoint aNow)
+{
+  const auto found = trials_.find(aService);
+  if (found == trials_.end()) {
+    return std::nullopt;
+  }
+  Trial& trial = found->second;
+  if (trial.order.state == RolloutState::Succeeded ||
+      trial.order.state == RolloutState::RolledBack) {
+    return std::nullopt;
+  }
+  Decay(trial, aNow);
+  trial.bad = trial.bad || LooksBad(trial);
+  if (trial.bad) {
+    return RolloutState::RolledBack;
+  }
+  const double part = core::Seconds(aNow - trial.seenAt) /
+                      std::max(0.001, core::Seconds(trial.order.duration));
+  if (part >= kSucceedFrom) {
+    return RolloutState::Succeeded;
+  }
+  return trial.order.state == RolloutState::Ordered
+           ? std::optional(RolloutState::Running)
+           : std::nullopt;
+}
+
+const RolloutOrder*
+Rollouts::Find(std::string_view aService) const
+{
+  const auto found = trials_.find(aService);
+  return found == trials_.end() ? nullptr : &found->second.order;
+}
+
+bool
+Rollouts::AnyOpen() const
+{
+  return std::ranges::any_of(trials_, [](const auto& aTrial) {
+    return aTrial.second.order.state == RolloutState::Ordered ||
+           aTrial.second.order.state == RolloutState::Running;
+  });
+}
+
+} // namespace hibiscusnotch::routing
--- /dev/null
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -0,0 +1,175 @@
+#include "hibiscusnotch/store/watcher.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace hibiscusnotch::store {
+
+namespace {
+
+constexpr Duration kFirstPause{ 100'000 };
+constexpr Duration kLongestPause{ 800'000 }; // well within the shortest bound
+// Entries that lapse with an outage are restored within about this time.
+constexpr Duration kRestoreTime{ 2'500'000 };
+
+class ListAndWatch : public Watcher
+{
+public:
+  ListAndWatch(ObjectStore& aStore,
+               relay::Timers& aTimers,
+               WatcherOptions aOptions,
+               WatcherObserver aObserver)
+    : store_(aStore)
+    , timers_(aTimers)
+    , options_(std::move(aOptions))
+    , observer_(std::move(aObserver))
+    , random_(std::random_device{}())
+  {
+    ListFrom("");
+  }
+
+  bool RecentlyLost(TimePoint aNow) const override
+  {
+    return lost_ || aNow - regainedAt_ < kRestoreTime;
+  }
+
+private:
+  void ListFrom(const std::string& aAfter)
+  {
+    if (aAfter.empty()) {
+      listed_.clear();
+      listSentAt_ = timers_.Now();
+    }
+    store_.List(options_.kind,
+                aAfter,
+                [this](std::optional<ListPage> aPage, StoreFault aFault) {
+                  OnPage(std::move(aPage), aFault);
+                });
+  }
+
+  void OnPage(std::optional<ListPage> aPage, StoreFault aFault)
+  {
+    if (!aPage) {
+      Fail(aFault, true);
+      return;
+    }
+    if (listed_.empty()) {
+      // Changes during a long listing are seen again by the watch.
+      firstAsOf_ = aPage->asOf;
+    }
+    const bool more = aPage->more && !aPage->items.empty();
+    std::ranges::move(aPage->items, std::back_inserter(listed_));
+    if (more) {
+      ListFrom(listed_.back().name);
+      return;
+    }
+    Succeed();
+    since_ = firstAsOf_;
+    observer_.onList(listed_);
+    listed_.clear();
+    observer_.onConfirmed(listSentAt_);
+    Watch(options_.wait);
+  }
+
+  void Watch(Duration aWait)
+  {
+    const TimePoint sentAt = timers_.Now();
+    store_.Watch(options_.kind,
+                 since_,
+                 aWait,
+                 [this, sentAt, aWait](std::optional<ChangeBatch> aBatch,
+                                       StoreFault aFault) {
+                   OnBatch(sentAt, aWait, std::move(aBatch), aFault);
+                 });
+  }
+
+  void OnBatch(TimePoint aSentAt,
+               Duration aWait,
+               std::optional<ChangeBatch> aBatch,
+               StoreFault aFault)
+  {
+    if (!aBatch) {
+      Fail(aFault, aFault == StoreFault::HistoryGone);
+      return;
+    }
+    Succeed();
+    since_ = std::max(since_, aBatch->asOf);
+    for (const Change& change : aBatch->changes) {
+      observer_.onChange(change);
+    }
+    if (!aBatch->changes.empty()) {
+      observer_.onConfirmed(aSentAt);
+      Watch(std::min(options_.wait, options_.waitAfterChange));
+      return;
+    }
+    // The store held the call for the whole wait and saw no change.
+    const TimePoint now = timers_.Now();
+    const bool held = now - aSentAt >= aWait;
+    observer_.onConfirmed(held ? aSentAt + aWait : aSentAt);
+    if (held) {
+      Watch(options_.wait);
+    } else {
+      timers_.After(kFirstPause, [this] { Watch(options_.wait); });
+    }
+  }
+
+  void Fail(StoreFault aFault, bool aListAgain)
+  {
+    if (!lost_) {
+      lost_ = true;
+      observer_.onLost(aFault);
+    }
+    pause_ = pause_ == Duration::zero() ? kFirstPause
+                                        : std::min(kLongestPause, pause_ * 2);
+    if (aFault == StoreFault::HistoryGone) {
+      pause_ = kFirstPause / 10;
+    }
+    std::uniform_real_distribution<double> spread(0.7, 1.3);
+    const Duration pause =
+      core::FromSeconds(core::Seconds(pause_) * spread(random_));
+    timers_.After(pause, [this, aListAgain] {
+      if (aListAgain) {
+        ListFrom("");
+      } else {
+        Watch(options_.waitAfterChange);
+      }
+    });
+  }
+
+  void Succeed()
+  {
+    pause_ = Duration::zero();
+    if (lost_) {
+      lost_ = false;
+      regainedAt_ = timers_.Now();
+      observer_.onRegained();
+    }
+  }
+
+  ObjectStore& store_;
+  relay::Timers& timers_;
+  WatcherOptions options_;
+  WatcherObserver observer_;
+  std::minstd_rand random_;
+  std::vector<Object> listed_;
+  TimePoint listSentAt_{};
+  uint64_t firstAsOf_ = 0;
+  uint64_t since_ = 0;
+  Duration pause_{ 0 };
+  bool lost_ = false;
+  TimePoint regainedAt_{ Duration{ -1'000'000'000 } };
+};
+
+} // namespace
+
+std::unique_ptr<Watcher>
+MakeWatcher(ObjectStore& aStore,
+            relay::Timers& aTimers,
+            WatcherOptions aOptions,
+            WatcherObserver aObserver)
+{
+  return std::make_unique<ListAndWatch>(
+    aStore, aTimers, std::move(aOptions), std::move(aObserver));
+}
+
+} // namespace hibiscusnotch::store
