--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -52,6 +52,8 @@
   virtual void OnGone(relay::ExchangeId aId) = 0;
   virtual void OnDrained(relay::ExchangeId aId) = 0;
   virtual std::size_t Open() const = 0;
+  /// @brief Refuses what comes from now on; the process is about to end.
+  virtual void RefuseNew() = 0;
   /// @brief True when keyed requests are served.
   virtual bool KeysAreFresh() const = 0;
 };
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -10,9 +10,9 @@
 
 using core::EventNumber;
 
-// The balancer asks once a second and needs two misses to move callers away;
-// a request that is on its way then still finds this instance.
-constexpr Duration kBalancerDelay{ 3'000'000 };
+// The balancer asks once a second and needs two misses to move callers away.
+// What still comes after that could be cut by the end of the process.
+constexpr Duration kBalancerDelay{ 2'800'000 };
 constexpr Duration kDrainStep{ 100'000 };
 // Left of the grace for the end of the process itself.
 constexpr Duration kExitMargin{ 300'000 };
@@ -176,6 +176,10 @@
   void AwaitDrained(std::function<void()> aDone)
   {
     const Duration spent = timers_->Now() - *drainStarted_;
+    if (spent >= kBalancerDelay) {
+      callers_->StopAccepting();
+      router_->RefuseNew();
+    }
     const bool idle = router_->Open() == 0 && spent >= kBalancerDelay;
     if (idle || spent >= options_.grace - kExitMargin) {
       log_.Write(EventNumber::DrainFinished,
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -41,6 +41,7 @@
 constexpr Duration kResumeWait{ 1'500'000 };
 constexpr Duration kRetryAfterBusy{ 500'000 };    // about one request's work
 constexpr Duration kRetryAfterStale{ 1'000'000 }; // another instance may serve
+constexpr Duration kRetryAfterElsewhere{ 50'000 }; // any other instance serves
 constexpr Duration kRetryAfterPoison{ 10'000'000 };
 // Sends beyond the executions allowed: refused ones do not count as such.
 constexpr uint32_t kExtraSends = 3;
@@ -114,6 +115,10 @@
       core::MixHash(core::StableHash(exchange.request.target),
                     core::MixHash(core::StableHash(exchange.facts.key),
                                   core::StableHash(exchange.request.body)));
+    if (refusing_) {
+      Refuse(exchange, kUnavailable, Reason::ShuttingDown, kRetryAfterElsewhere);
+      return;
+    }
     if (!Admit(exchange)) {
       return;
     }
@@ -148,6 +153,8 @@
 
   std::size_t Open() const override { return exchanges_.size(); }
 
+  void RefuseNew() override { refusing_ = true; }
+
   bool KeysAreFresh() const override
   {
     return !options_.enforceKeyRemoval ||
@@ -913,6 +920,7 @@
   std::unordered_map<ExchangeId, Exchange> exchanges_;
   std::map<std::string, routing::RetryAllowance> allowances_;
   std::vector<BrokenAttempt> broken_;
+  bool refusing_ = false;
 };
 
 } // namespace
