--- a/include/hibiscusnotch/core/quarantine.hpp
+++ b/include/hibiscusnotch/core/quarantine.hpp
@@ -2,6 +2,7 @@
 /// @brief Keeps requests that take upstreams down from a third one.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <unordered_map>
 
@@ -30,6 +31,14 @@
     return found != losses_.end() && found->second >= kMaxLosses;
   }
 
+  /// @brief True when some request must not run again.
+  bool AnyHeld() const
+  {
+    return std::any_of(losses_.begin(), losses_.end(), [](const auto& aRow) {
+      return aRow.second >= kMaxLosses;
+    });
+  }
+
   /// @brief Upstreams lost under the request so far.
   uint32_t Losses(uint64_t aFingerprint) const
   {
--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -22,7 +22,7 @@
   core::Endpoint readiness; ///< Answers the balancer's question.
   std::string readinessPath = "/ready";
   core::Endpoint metrics;
-  core::Endpoint datagrams;
+  core::Endpoint peerEndpoint; ///< Datagrams over UDP, mirrors over TCP.
   /// @brief From the signal to the end of the process.
   Duration grace{ 8'000'000 };
   RouterOptions router;
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -18,6 +18,13 @@
 using core::Duration;
 using core::TimePoint;
 
+/// @brief Another entry instance, as it registered itself.
+struct InstanceRow
+{
+  core::Endpoint endpoint; ///< For datagrams and, over TCP, for mirrors.
+  std::string zone;
+};
+
 /// @brief Plain tables; the systems of this module run over them.
 struct FleetState
 {
@@ -28,8 +35,7 @@
   routing::UpstreamTable upstreams;
   std::set<std::string, std::less<>> zonesOut;
   routing::Rollouts rollouts;
-  /// @brief Instances by name, with the address for their datagrams.
-  std::map<std::string, core::Endpoint> instances;
+  std::map<std::string, InstanceRow> instances;
   core::Quarantine quarantine;
 
   std::size_t InstanceCount() const
--- a/include/hibiscusnotch/entry/fleet_sync.hpp
+++ b/include/hibiscusnotch/entry/fleet_sync.hpp
@@ -6,6 +6,8 @@
 #include "hibiscusnotch/entry/fleet_state.hpp"
 #include "hibiscusnotch/entry/store_codec.hpp"
 
+#include "hibiscusnotch/store/mirror_server.hpp"
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,16 +17,22 @@
 struct FleetSyncOptions
 {
   std::string instanceName;
-  core::Endpoint datagrams; ///< Where peers reach this instance.
+  std::string zone;
+  core::Endpoint peerEndpoint; ///< Where peers reach this instance.
   /// @brief How long the store may hold the watch of the configuration; each
   /// end of it confirms the keys, so it is well below their bound.
   Duration configurationWait{ 2'000'000 };
   Duration otherWait{ 8'000'000 };
+  /// @brief The configuration's wait where mirrors are read: the ages of both
+  /// hops add up.
+  Duration mirroredWait{ 1'000'000 };
 };
 
 struct FleetSyncParts
 {
-  store::ObjectStore& store;
+  store::ObjectStore& direct;  ///< For this instance's own row.
+  store::ObjectStore& relayed; ///< For everything that is followed.
+  store::MirrorServer& mirrors;
   relay::Timers& timers;
   const StoreCodec& codec;
   FleetState& fleet;
@@ -39,6 +47,8 @@
   virtual ~FleetSync() = default;
   /// @brief Takes this instance's row out of the store.
   virtual void Leave() = 0;
+  /// @brief A peer's mirror fails; a row whose owner is gone is deleted.
+  virtual void OnPeerLost(const std::string& aPeer, uint32_t aUnreachable) = 0;
 };
 
 std::unique_ptr<FleetSync>
--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -18,6 +18,7 @@
 
 struct RouterOptions
 {
+  std::string instanceName;
   std::string zone;
   /// @brief A key counts only if the configuration was confirmed this lately.
   /// Source: the operators' bound on removed keys, less a margin.
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/core/verdict.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <span>
@@ -32,7 +33,8 @@
   const UpstreamTable& upstreams;
   const std::set<std::string, std::less<>>& zonesOut;
   std::string_view homeZone;
-  double coldSendsPerSecond = 1; ///< This instance's part, per cold upstream.
+  /// @brief This instance's part of what a cold upstream bears.
+  std::function<double(const Upstream&)> coldSendsPerSecond;
   TimePoint now;
 };
 
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -31,6 +31,10 @@
   std::vector<Object> items;
   bool more = false; ///< Ask again, after the last item's name.
   uint64_t asOf = 0; ///< The store's revision.
+  /// @brief How long before the answer the source itself knew this to be new.
+  Duration age{ 0 };
+  /// @brief The source was cut off from the store a moment ago.
+  bool afterOutage = false;
 };
 
 struct Change
@@ -43,6 +47,8 @@
 {
   std::vector<Change> changes; ///< Empty when the wait ended without one.
   uint64_t asOf = 0;
+  Duration age{ 0 };        ///< As in ListPage.
+  bool afterOutage = false; ///< As in ListPage.
 };
 
 /// @brief Why a call gave nothing.
@@ -52,8 +58,9 @@
   HistoryGone, ///< Changes since that revision are forgotten: list again.
   Conflict,    ///< The object has another revision.
   Missing,
-  Refused,  ///< Too many calls, or not available; nothing was done.
-  NoAnswer, ///< Lost, late or unreadable; a write may take effect.
+  Refused,    ///< Too many calls, or not available; nothing was done.
+  NoAnswer,   ///< Lost, late or unreadable; a write may take effect.
+  SourceLost, ///< A peer that relays the store fails; others may not.
 };
 
 template<class Result>
--- a/include/hibiscusnotch/store/watcher.hpp
+++ b/include/hibiscusnotch/store/watcher.hpp
@@ -18,14 +18,17 @@
   Duration wait{ 10'000'000 }; ///< How long the store may hold a watch.
   /// @brief Wait of the watch that follows a change, so that what was known
   /// before the change is confirmed soon.
-  Duration waitAfterChange{ 500'000 };
+  Duration waitAfterChange{ 10'000'000 };
+  /// @brief Pause after a change, so that one call brings the next few. Small
+  /// against the shortest bound on a change, which is two seconds.
+  Duration gather{ 250'000 };
 };
 
 struct WatcherObserver
 {
   /// @brief The whole list, after a start or a gap.
-  std::function<void(const std::vector<Object>&)> onList;
-  std::function<void(const Change&)> onChange;
+  std::function<void(const std::vector<Object>&, uint64_t aAsOf)> onList;
+  std::function<void(const Change&, uint64_t aAsOf)> onChange;
   /// @brief All changes up to that time are known here.
   std::function<void(TimePoint)> onConfirmed;
   /// @brief The first failure after a success.
@@ -40,6 +43,10 @@
   virtual ~Watcher() = default;
   /// @brief Until this time lost entries may come back: an outage just ended.
   virtual bool RecentlyLost(TimePoint aNow) const = 0;
+  /// @brief How long the store may hold the next watch.
+  virtual void SetWait(Duration aWait) = 0;
+  /// @brief True while the last call failed or none has succeeded.
+  virtual bool Lost() const = 0;
 };
 
 std::unique_ptr<Watcher>
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -1,6 +1,8 @@
 #include "hibiscusnotch/entry/entry_node.hpp"
 
+#include "hibiscusnotch/entry/mirror_role.hpp"
 #include "hibiscusnotch/entry/rollout_duty.hpp"
+#include "hibiscusnotch/store/relayed_store.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -34,6 +36,23 @@
   return options;
 }
 
+GossipOptions
+GossipAs(const EntryNodeOptions& aOptions)
+{
+  GossipOptions options;
+  options.instanceName = aOptions.instanceName;
+  options.endpoint = aOptions.peerEndpoint;
+  return options;
+}
+
+store::RelayedStoreOptions
+ProbeBy(const StoreCodec& aCodec)
+{
+  store::RelayedStoreOptions options;
+  options.probeKind = aCodec.Kinds().configuration;
+  return options;
+}
+
 class Node : public EntryNode
 {
 public:
@@ -61,18 +80,23 @@
                                            *timers_,
                                            ListenAt(options_.metrics),
                                            MetricsObserver()))
+    , mirrors_(
+        store::MakeMirrorServer(aContext, *timers_, options_.peerEndpoint))
+    , relayed_(store::MakeRelayedStore(*store_,
+                                       *caller_,
+                                       *timers_,
+                                       ProbeBy(aParts.codec),
+                                       RelayObserver()))
     , sync_(MakeFleetSync(options_.sync,
                           { *store_,
+                            *relayed_,
+                            *mirrors_,
                             *timers_,
                             aParts.codec,
                             fleet_,
                             log_,
                             [this] { ApplyLimits(); } }))
-    , gossip_(MakeGossip(aContext,
-                         *timers_,
-                         { options_.instanceName, options_.datagrams },
-                         fleet_,
-                         log_))
+    , gossip_(MakeGossip(aContext, *timers_, GossipAs(options_), fleet_, log_))
     , duty_(MakeRolloutDuty(options_.instanceName,
                             { *store_, *timers_, aParts.codec, fleet_, log_ }))
   {
@@ -116,6 +140,17 @@
              [this](relay::ExchangeId aId) { router_->OnDrained(aId); } };
   }
 
+  store::RelayedStoreObserver RelayObserver()
+  {
+    return { [this] {
+              return MirrorPeers(
+                fleet_, options_.instanceName, options_.router.zone);
+            },
+             [this](const std::string& aPeer, uint32_t aUnreachable) {
+               sync_->OnPeerLost(aPeer, aUnreachable);
+             } };
+  }
+
   relay::ListenerObserver ReadinessObserver()
   {
     return { [this](relay::ExchangeId aId, const net::HttpRequest& aRequest) {
@@ -217,6 +252,8 @@
   std::unique_ptr<relay::Listener> callers_;
   std::unique_ptr<relay::Listener> readiness_;
   std::unique_ptr<relay::Listener> metricsListener_;
+  std::unique_ptr<store::MirrorServer> mirrors_;
+  std::unique_ptr<store::ObjectStore> relayed_;
   std::unique_ptr<FleetSync> sync_;
   std::unique_ptr<Gossip> gossip_;
   std::unique_ptr<RolloutDuty> duty_;
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -1,7 +1,10 @@
 #include "hibiscusnotch/entry/fleet_sync.hpp"
 
+#include "hibiscusnotch/entry/mirror_role.hpp"
 #include "hibiscusnotch/store/watcher.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <set>
 #include <vector>
 
@@ -15,6 +18,12 @@
 using store::StoreFault;
 
 constexpr Duration kSweepStep{ 250'000 };
+constexpr Duration kGatherInstances{ 350'000 };    // all start within 0.3 s
+constexpr Duration kConfigurationGather{ 50'000 }; // a storm of versions
+// A change was known from its watch's start on; the keys are confirmed again
+// well before they count as old.
+constexpr Duration kConfirmAfterChange{ 500'000 };
+constexpr uint32_t kUnreachableToDelete = 4; // about ten seconds
 constexpr Duration kRegisterAgain{ 1'000'000 };
 
 std::string
@@ -33,6 +42,8 @@
       return "refused";
     case StoreFault::NoAnswer:
       return "no_answer";
+    case StoreFault::SourceLost:
+      return "source_lost";
   }
   return "no_answer";
 }
@@ -44,51 +55,38 @@
     : options_(std::move(aOptions))
     , parts_(std::move(aParts))
   {
-    const StoreKinds& kinds = parts_.codec.Kinds();
-    Follow(
-      kinds.configuration,
-      options_.configurationWait,
-      [this](const Object& aObject) { OnConfiguration(aObject); },
-      [](const std::string&) {},
-      [this](TimePoint aTime) {
-        parts_.fleet.configurationConfirmed =
-          std::max(parts_.fleet.configurationConfirmed, aTime);
-      });
-    FollowUpstreams();
-    Follow(
-      kinds.rollouts,
-      options_.otherWait,
-      [this](const Object& aObject) { OnRollout(aObject); },
-      [this](const std::string& aName) {
-        parts_.fleet.rollouts.Remove(aName);
-      });
-    Follow(
-      kinds.evacuations,
-      options_.otherWait,
-      [this](const Object& aObject) { SetZone(aObject.name, true); },
-      [this](const std::string& aName) { SetZone(aName, false); });
-    Follow(
-      kinds.instances,
-      options_.otherWait,
-      [this](const Object& aObject) { OnInstance(aObject); },
-      [this](const std::string& aName) {
-        if (aName != options_.instanceName) {
-          parts_.fleet.instances.erase(aName);
-        }
-      });
-    parts_.fleet.instances[options_.instanceName] = options_.datagrams;
+    parts_.fleet.instances[options_.instanceName] = { options_.peerEndpoint,
+                                                      options_.zone };
     Register();
+    // Instances that start together find each other's rows in the first list.
+    parts_.timers.After(kGatherInstances, [this] { FollowInstances(); });
     Sweep();
   }
 
   void Leave() override
   {
     leaving_ = true;
-    parts_.store.Delete(parts_.codec.Kinds().instances,
-                        options_.instanceName,
-                        [](std::optional<Object>, StoreFault) {
-                          // The row is only a hint; others count one too many.
-                        });
+    parts_.direct.Delete(parts_.codec.Kinds().instances,
+                         options_.instanceName,
+                         [](std::optional<Object>, StoreFault) {
+                           // The row is only a hint; others count one too many.
+                         });
+  }
+
+  void OnPeerLost(const std::string& aPeer, uint32_t aUnreachable) override
+  {
+    parts_.log.Write(EventNumber::PeerSuspected,
+                     "peer=" + aPeer +
+                       " unreachable=" + std::to_string(aUnreachable));
+    if (aUnreachable < kUnreachableToDelete) {
+      return;
+    }
+    parts_.log.Write(EventNumber::PeerDead, "peer=" + aPeer);
+    parts_.direct.Delete(parts_.codec.Kinds().instances,
+                         aPeer,
+                         [](std::optional<Object>, StoreFault) {
+                           // Tried again when the peer is next found gone.
+                         });
   }
 
 private:
@@ -106,21 +104,26 @@
   {
     auto known = std::make_shared<std::set<std::string>>();
     store::WatcherObserver observer;
-    observer.onList =
-      [known, aOnObject, aOnRemoved](const std::vector<Object>& aObjects) {
-        std::set<std::string> names;
-        for (const Object& object : aObjects) {
-          names.insert(object.name);
-          aOnObject(object);
-        }
-        for (const std::string& name : *known) {
-          if (!names.contains(name)) {
-            aOnRemoved(name);
-          }
+    observer.onList = [this, aKind, known, aOnObject, aOnRemoved](
+                        const std::vector<Object>& aObjects, uint64_t aAsOf) {
+      parts_.mirrors.Of(aKind).ApplyList(aObjects, aAsOf);
+      PublishSoon(aKind);
+      std::set<std::string> names;
+      for (const Object& object : aObjects) {
+        names.insert(object.name);
+        aOnObject(object);
+      }
+      for (const std::string& name : *known) {
+        if (!names.contains(name)) {
+          aOnRemoved(name);
         }
-        *known = std::move(names);
-      };
-    observer.onChange = [known, aOnObject, aOnRemoved](const Change& aChange) {
+      }
+      *known = std::move(names);
+    };
+    observer.onChange = [this, aKind, known, aOnObject, aOnRemoved](
+                          const Change& aChange, uint64_t aAsOf) {
+      parts_.mirrors.Of(aKind).Apply(aChange, aAsOf);
+      PublishSoon(aKind);
       if (aChange.removed) {
         known->erase(aChange.object.name);
         aOnRemoved(aChange.object.name);
@@ -137,8 +140,92 @@
     observer.onRegained = [this, aKind] {
       parts_.log.Write(EventNumber::StoreRegained, "kind=" + aKind);
     };
-    watchers_.push_back(store::MakeWatcher(
-      parts_.store, parts_.timers, { aKind, aWait }, std::move(observer)));
+    watchers_.push_back(store::MakeWatcher(parts_.relayed,
+                                           parts_.timers,
+                                           OptionsFor(aKind, aWait),
+                                           std::move(observer)));
+  }
+
+  store::WatcherOptions OptionsFor(const std::string& aKind,
+                                   Duration aWait) const
+  {
+    store::WatcherOptions options;
+    options.kind = aKind;
+    options.wait = aWait;
+    if (aKind == parts_.codec.Kinds().configuration) {
+      options.gather = kConfigurationGather;
+      options.waitAfterChange = kConfirmAfterChange;
+    }
+    return options;
+  }
+
+  /// Answers the peers' polls once all changes of a batch are taken in.
+  void PublishSoon(const std::string& aKind)
+  {
+    if (publishing_.insert(aKind).second) {
+      parts_.timers.After(Duration::zero(), [this, aKind] {
+        publishing_.erase(aKind);
+        parts_.mirrors.SetAfterOutage(AnyRecentlyLost());
+        parts_.mirrors.Publish(aKind);
+      });
+    }
+  }
+
+  bool AnyRecentlyLost() const
+  {
+    const TimePoint now = parts_.timers.Now();
+    return std::ranges::any_of(watchers_, [now](const auto& aWatcher) {
+      return aWatcher->RecentlyLost(now);
+    });
+  }
+
+  void FollowInstances()
+  {
+    Follow(
+      parts_.codec.Kinds().instances,
+      options_.otherWait,
+      [this](const Object& aObject) { OnInstance(aObject); },
+      [this](const std::string& aName) {
+        if (aName == options_.instanceName) {
+          Register(); // a peer took this instance for dead
+        } else {
+          parts_.fleet.instances.erase(aName);
+        }
+      },
+      [this](TimePoint) { FollowRest(); });
+  }
+
+  /// Follows the other kinds once it is known which peers have mirrors.
+  void FollowRest()
+  {
+    if (watchers_.size() > 1) {
+      return;
+    }
+    const StoreKinds& kinds = parts_.codec.Kinds();
+    configurationWatcher_ = watchers_.size();
+    Follow(
+      kinds.configuration,
+      options_.configurationWait,
+      [this](const Object& aObject) { OnConfiguration(aObject); },
+      [](const std::string&) {},
+      [this](TimePoint aTime) {
+        parts_.fleet.configurationConfirmed =
+          std::max(parts_.fleet.configurationConfirmed, aTime);
+        parts_.mirrors.Confirm(aTime);
+      });
+    FollowUpstreams();
+    Follow(
+      kinds.rollouts,
+      options_.otherWait,
+      [this](const Object& aObject) { OnRollout(aObject); },
+      [this](const std::string& aName) {
+        parts_.fleet.rollouts.Remove(aName);
+      });
+    Follow(
+      kinds.evacuations,
+      options_.otherWait,
+      [this](const Object& aObject) { SetZone(aObject.name, true); },
+      [this](const std::string& aName) { SetZone(aName, false); });
   }
 
   void FollowUpstreams()
@@ -243,21 +330,25 @@
 
   void OnInstance(const Object& aObject)
   {
-    core::Endpoint endpoint;
-    if (aObject.spec.is_object()) {
-      endpoint.address = aObject.spec.value("ip", "");
-      endpoint.port = aObject.spec.value<uint16_t>("port", 0);
+    InstanceRow row;
+    try {
+      row.endpoint.address = aObject.spec.at("ip").get<std::string>();
+      row.endpoint.port = aObject.spec.at("port").get<uint16_t>();
+      row.zone = aObject.spec.at("zone").get<std::string>();
+    } catch (const nlohmann::json::exception& aError) {
+      Unreadable(parts_.codec.Kinds().instances, aObject, aError.what());
     }
-    parts_.fleet.instances[aObject.name] = endpoint;
+    parts_.fleet.instances[aObject.name] = std::move(row);
   }
 
   void Register()
   {
     Object row;
     row.name = options_.instanceName;
-    row.spec = { { "ip", options_.datagrams.address },
-                 { "port", options_.datagrams.port } };
-    parts_.store.Create(
+    row.spec = { { "ip", options_.peerEndpoint.address },
+                 { "port", options_.peerEndpoint.port },
+                 { "zone", options_.zone } };
+    parts_.direct.Create(
       parts_.codec.Kinds().instances,
       row,
       [this](std::optional<Object> aObject, StoreFault aFault) {
@@ -271,12 +362,21 @@
   void Sweep()
   {
     parts_.fleet.upstreams.Sweep(parts_.timers.Now());
+    if (configurationWatcher_ < watchers_.size()) {
+      store::Watcher& watcher = *watchers_[configurationWatcher_];
+      parts_.mirrors.SetInTouch(!watcher.Lost());
+      watcher.SetWait(ZoneHasMirrors(parts_.fleet, options_.zone)
+                        ? options_.mirroredWait
+                        : options_.configurationWait);
+    }
     parts_.timers.After(kSweepStep, [this] { Sweep(); });
   }
 
   FleetSyncOptions options_;
   FleetSyncParts parts_;
   std::vector<std::unique_ptr<store::Watcher>> watchers_;
+  std::size_t configurationWatcher_ = SIZE_MAX;
+  std::set<std::string> publishing_;
   bool leaving_ = false;
 };
 
--- a/src/hibiscusnotch/entry/gossip.cpp
+++ b/src/hibiscusnotch/entry/gossip.cpp
@@ -61,12 +61,12 @@
 private:
   void Step()
   {
-    if (fleet_.rollouts.AnyOpen() || !fleet_.quarantine.All().empty()) {
+    if (fleet_.rollouts.AnyOpen() || fleet_.quarantine.AnyHeld()) {
       const std::string message =
         WriteGossip(options_.instanceName, fleet_, timers_.Now());
       for (const auto& [name, peer] : fleet_.instances) {
-        if (name != options_.instanceName && peer.port != 0) {
-          SendTo(peer, message);
+        if (name != options_.instanceName && peer.endpoint.port != 0) {
+          SendTo(peer.endpoint, message);
         }
       }
     }
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -2,9 +2,11 @@
 
 #include "exchange.hpp"
 #include "hibiscusnotch/core/rendezvous.hpp"
+#include "hibiscusnotch/routing/cold_part.hpp"
 #include "hibiscusnotch/routing/placement.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <unordered_map>
 
@@ -39,8 +41,8 @@
 // A cut stream looks for another upstream this long: callers leave after a gap
 // of two seconds.
 constexpr Duration kResumeWait{ 1'500'000 };
-constexpr Duration kRetryAfterBusy{ 500'000 };    // about one request's work
-constexpr Duration kRetryAfterStale{ 1'000'000 }; // another instance may serve
+constexpr Duration kRetryAfterBusy{ 500'000 };     // about one request's work
+constexpr Duration kRetryAfterStale{ 1'000'000 };  // another instance may serve
 constexpr Duration kRetryAfterElsewhere{ 50'000 }; // any other instance serves
 constexpr Duration kRetryAfterPoison{ 10'000'000 };
 // Sends beyond the executions allowed: refused ones do not count as such.
@@ -116,7 +118,8 @@
                     core::MixHash(core::StableHash(exchange.facts.key),
                                   core::StableHash(exchange.request.body)));
     if (refusing_) {
-      Refuse(exchange, kUnavailable, Reason::ShuttingDown, kRetryAfterElsewhere);
+      Refuse(
+        exchange, kUnavailable, Reason::ShuttingDown, kRetryAfterElsewhere);
       return;
     }
     if (!Admit(exchange)) {
@@ -284,23 +287,32 @@
 
   routing::PlacementView View() const
   {
-    return {
-      fleet_.upstreams, fleet_.zonesOut, options_.zone, 1, timers_.Now()
-    };
+    return { fleet_.upstreams,
+             fleet_.zonesOut,
+             options_.zone,
+             [this](const routing::Upstream& aUpstream) {
+               return ColdSendsPerSecond(aUpstream);
+             },
+             timers_.Now() };
   }
 
-  /// This instance's part of what a cold upstream of the service bears.
-  double ColdPart(const std::string& aService) const
+  double ColdSendsPerSecond(const routing::Upstream& aUpstream) const
   {
     const routing::Service* service =
-      fleet_.configuration->FindService(aService);
+      fleet_.configuration->FindService(aUpstream.entry.service);
     if (!service || service->coldRate <= 0) {
-      return 1e9; // no limit was declared
+      return std::numeric_limits<double>::infinity();
+    }
+    constexpr double kMargin = 0.85; // requests that arrive bunched together
+    std::vector<routing::ColdSender> senders;
+    for (const auto& [name, row] : fleet_.instances) {
+      senders.push_back({ name, row.zone == aUpstream.entry.zone });
     }
-    constexpr double kMargin = 0.8; // requests that arrive bunched together
-    const double fleet =
-      (service->coldRate * options_.coldFactor + options_.coldExtra) * kMargin;
-    return std::max(1.0, fleet / static_cast<double>(fleet_.InstanceCount()));
+    return routing::ColdPart(
+      kMargin * (service->coldRate * options_.coldFactor + options_.coldExtra),
+      aUpstream.entry.name,
+      options_.instanceName,
+      senders);
   }
 
   std::optional<UpstreamId> Choose(const Exchange& aExchange,
@@ -324,8 +336,7 @@
         wanted.sharedTokens += parts[part].tokens;
       }
     }
-    routing::PlacementView view = View();
-    view.coldSendsPerSecond = ColdPart(service);
+    const routing::PlacementView view = View();
     auto chosen = routing::Place(view, wanted, aReason);
     if (!chosen && !rule.only.empty()) {
       // The new version has no upstream yet; the old ones still serve.
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -132,7 +132,7 @@
       std::ranges::count_if(aUpstream.recentSends, [&aView](TimePoint aSent) {
         return aView.now - aSent <= Duration{ 1'000'000 };
       });
-    if (static_cast<double>(recent) + 1 > aView.coldSendsPerSecond) {
+    if (static_cast<double>(recent) + 1 > aView.coldSendsPerSecond(aUpstream)) {
       aLastReason = core::Reason::ColdStartLimit;
       return false;
     }
--- /dev/null
+++ b/src/hibiscusnotch/store/relayed_store.cpp
@@ -0,0 +1,264 @@
+#include "hibiscusnotch/store/relayed_store.hpp"
+
+#include "hibiscusnotch/store/mirror.hpp"
+
+#include <map>
+#include <unordered_map>
+
+namespace hibiscusnotch::store {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr Duration kConnectTimeout{ 250'000 }; // within a zone
+constexpr Duration kPollSlack{ 450'000 };      // beyond the wait that was asked
+constexpr Duration kListTimeout{ 600'000 };
+
+struct PendingPoll
+{
+  std::string peer;
+  int status = 0;
+  std::string body;
+  relay::CallId call = 0;
+  relay::TimerId timer = 0;
+  std::function<void(int aStatus, const std::string& aBody)> done;
+};
+
+class RelayedStore : public ObjectStore
+{
+public:
+  RelayedStore(ObjectStore& aDirect,
+               relay::Caller& aCaller,
+               relay::Timers& aTimers,
+               RelayedStoreOptions aOptions,
+               RelayedStoreObserver aObserver)
+    : direct_(aDirect)
+    , caller_(aCaller)
+    , timers_(aTimers)
+    , options_(std::move(aOptions))
+    , observer_(std::move(aObserver))
+  {
+  }
+
+  void List(const std::string& aKind,
+            const std::string& aAfter,
+            Reply<ListPage> aReply) override
+  {
+    const auto peer = aAfter.empty() ? ChoosePeer() : std::nullopt;
+    if (!peer) {
+      if (Held(aKind)) {
+        Decline<ListPage>(aReply);
+        return;
+      }
+      direct_.List(aKind, aAfter, Noting<ListPage>(aKind, aReply));
+      return;
+    }
+    Ask(
+      *peer,
+      { aKind, std::nullopt, Duration::zero() },
+      kListTimeout,
+      [this, peer = peer->name, aReply](int aStatus, const std::string& aBody) {
+        auto page = aStatus == kOk ? ReadMirrorPage(aBody) : std::nullopt;
+        Finish(peer, aStatus, std::move(page), aReply);
+      });
+  }
+
+  void Watch(const std::string& aKind,
+             uint64_t aSince,
+             Duration aWait,
+             Reply<ChangeBatch> aReply) override
+  {
+    const auto peer = ChoosePeer();
+    if (!peer) {
+      if (Held(aKind)) {
+        Decline<ChangeBatch>(aReply);
+        return;
+      }
+      direct_.Watch(aKind, aSince, aWait, Noting<ChangeBatch>(aKind, aReply));
+      return;
+    }
+    Ask(
+      *peer,
+      { aKind, aSince, aWait },
+      aWait + kPollSlack,
+      [this, peer = peer->name, aReply](int aStatus, const std::string& aBody) {
+        if (aStatus == kGone) {
+          aReply(std::nullopt, StoreFault::HistoryGone);
+          return;
+        }
+        auto batch = aStatus == kOk ? ReadMirrorBatch(aBody) : std::nullopt;
+        Finish(peer, aStatus, std::move(batch), aReply);
+      });
+  }
+
+  void Get(const std::string& aKind,
+           const std::string& aName,
+           Reply<Object> aReply) override
+  {
+    direct_.Get(aKind, aName, std::move(aReply));
+  }
+  void Create(const std::string& aKind,
+              const Object& aObject,
+              Reply<Object> aReply) override
+  {
+    direct_.Create(aKind, aObject, std::move(aReply));
+  }
+  void PutStatus(const std::string& aKind,
+                 const Object& aObject,
+                 Reply<Object> aReply) override
+  {
+    direct_.PutStatus(aKind, aObject, std::move(aReply));
+  }
+  void Delete(const std::string& aKind,
+              const std::string& aName,
+              Reply<Object> aReply) override
+  {
+    direct_.Delete(aKind, aName, std::move(aReply));
+  }
+  uint64_t Calls() const override { return direct_.Calls(); }
+
+private:
+  std::optional<MirrorPeer> ChoosePeer()
+  {
+    for (MirrorPeer& peer : observer_.peers()) {
+      const auto avoided = avoidUntil_.find(peer.name);
+      if (avoided == avoidUntil_.end() || timers_.Now() >= avoided->second) {
+        return std::move(peer);
+      }
+    }
+    return std::nullopt;
+  }
+
+  /// While the store fails, one kind's calls find out when it is back.
+  bool Held(const std::string& aKind) const
+  {
+    return probeFailed_ && aKind != options_.probeKind;
+  }
+
+  template<class Result>
+  void Decline(const Reply<Result>& aReply)
+  {
+    timers_.After(Duration::zero(),
+                  [aReply] { aReply(std::nullopt, StoreFault::Refused); });
+  }
+
+  /// Passes a direct answer on and notes what the probe kind's say.
+  template<class Result>
+  Reply<Result> Noting(const std::string& aKind, Reply<Result> aReply)
+  {
+    if (aKind != options_.probeKind) {
+      return aReply;
+    }
+    return [this, aReply](std::optional<Result> aResult, StoreFault aFault) {
+      probeFailed_ =
+        aFault == StoreFault::Refused || aFault == StoreFault::NoAnswer;
+      aReply(std::move(aResult), aFault);
+    };
+  }
+
+  template<class Result>
+  void Finish(const std::string& aPeer,
+              int aStatus,
+              std::optional<Result> aResult,
+              const Reply<Result>& aReply)
+  {
+    if (aStatus != 0) {
+      unreachable_[aPeer] = 0;
+    }
+    if (aResult && aResult->age <= options_.oldestCopy) {
+      aReply(std::move(aResult), StoreFault::None);
+      return;
+    }
+    Avoid(aPeer, aStatus == 0);
+    aReply(std::nullopt, StoreFault::SourceLost);
+  }
+
+  void Avoid(const std::string& aPeer, bool aUnreachable)
+  {
+    const TimePoint now = timers_.Now();
+    TimePoint& until = avoidUntil_[aPeer];
+    if (until > now) {
+      return;
+    }
+    until = now + options_.avoidFor;
+    unreachable_[aPeer] += aUnreachable ? 1 : 0;
+    observer_.onPeerLost(aPeer, unreachable_[aPeer]);
+    // What else waits at that peer turns to another source now.
+    std::vector<uint64_t> waiting;
+    for (const auto& [id, poll] : pending_) {
+      if (poll.peer == aPeer) {
+        waiting.push_back(id);
+      }
+    }
+    for (const uint64_t id : waiting) {
+      End(id, false);
+    }
+  }
+
+  void Ask(const MirrorPeer& aPeer,
+           const MirrorQuery& aQuery,
+           Duration aTimeout,
+           std::function<void(int, const std::string&)> aDone)
+  {
+    const uint64_t id = ++last_;
+    relay::OutgoingCall call;
+    call.to = aPeer.endpoint;
+    call.connectTimeout = kConnectTimeout;
+    call.message = "GET " + WriteMirrorTarget(aQuery) +
+                   " HTTP/1.1\r\nHost: " + aPeer.endpoint.address +
+                   "\r\nConnection: close\r\n\r\n";
+    relay::CallObserver observer;
+    observer.onHead = [this, id](const relay::ResponseHead& aHead) {
+      pending_.at(id).status = aHead.status;
+    };
+    observer.onBody = [this, id](std::string_view aBytes) {
+      pending_.at(id).body.append(aBytes);
+    };
+    observer.onEnd = [this, id](relay::CallEnd aEnd, std::string_view) {
+      End(id, aEnd == relay::CallEnd::Complete);
+    };
+    PendingPoll& row = pending_[id];
+    row.peer = aPeer.name;
+    row.done = std::move(aDone);
+    row.timer = timers_.After(aTimeout, [this, id] { End(id, false); });
+    row.call = caller_.Start(std::move(call), std::move(observer));
+  }
+
+  void End(uint64_t aId, bool aComplete)
+  {
+    auto row = pending_.extract(aId);
+    if (row.empty()) {
+      return;
+    }
+    timers_.Cancel(row.mapped().timer);
+    caller_.Cancel(row.mapped().call);
+    row.mapped().done(aComplete ? row.mapped().status : 0, row.mapped().body);
+  }
+
+  ObjectStore& direct_;
+  relay::Caller& caller_;
+  relay::Timers& timers_;
+  RelayedStoreOptions options_;
+  RelayedStoreObserver observer_;
+  std::map<std::string, TimePoint> avoidUntil_;
+  std::map<std::string, uint32_t> unreachable_;
+  std::unordered_map<uint64_t, PendingPoll> pending_;
+  uint64_t last_ = 0;
+  bool probeFailed_ = false;
+};
+
+} // namespace
+
+std::unique_ptr<ObjectStore>
+MakeRelayedStore(ObjectStore& aDirect,
+                 relay::Caller& aCaller,
+                 relay::Timers& aTimers,
+                 RelayedStoreOptions aOptions,
+                 RelayedStoreObserver aObserver)
+{
+  return std::make_unique<RelayedStore>(
+    aDirect, aCaller, aTimers, std::move(aOptions), std::move(aObserver));
+}
+
+} // namespace hibiscusnotch::store
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration kFirstPause{ 100'000 };
 constexpr Duration kLongestPause{ 800'000 }; // well within the shortest bound
+constexpr Duration kSourcePause{ 30'000 };   // another source is asked at once
 // Entries that lapse with an outage are restored within about this time.
 constexpr Duration kRestoreTime{ 2'500'000 };
 
@@ -33,11 +34,16 @@
     return lost_ || aNow - regainedAt_ < kRestoreTime;
   }
 
+  void SetWait(Duration aWait) override { options_.wait = aWait; }
+
+  bool Lost() const override { return lost_ || !listedOnce_; }
+
 private:
   void ListFrom(const std::string& aAfter)
   {
     if (aAfter.empty()) {
       listed_.clear();
+      age_ = Duration::zero();
       listSentAt_ = timers_.Now();
     }
     store_.List(options_.kind,
@@ -57,6 +63,13 @@
       // Changes during a long listing are seen again by the watch.
       firstAsOf_ = aPage->asOf;
     }
+    if (aPage->asOf < since_) {
+      // A source that lags behind what is known here would undo it.
+      Fail(StoreFault::SourceLost, true);
+      return;
+    }
+    NoteOutage(aPage->afterOutage);
+    age_ = std::max(age_, aPage->age);
     const bool more = aPage->more && !aPage->items.empty();
     std::ranges::move(aPage->items, std::back_inserter(listed_));
     if (more) {
@@ -65,9 +78,10 @@
     }
     Succeed();
     since_ = firstAsOf_;
-    observer_.onList(listed_);
+    listedOnce_ = true;
+    observer_.onList(listed_, since_);
     listed_.clear();
-    observer_.onConfirmed(listSentAt_);
+    observer_.onConfirmed(listSentAt_ - age_);
     Watch(options_.wait);
   }
 
@@ -93,19 +107,22 @@
       return;
     }
     Succeed();
+    NoteOutage(aBatch->afterOutage);
     since_ = std::max(since_, aBatch->asOf);
     for (const Change& change : aBatch->changes) {
-      observer_.onChange(change);
+      observer_.onChange(change, since_);
     }
     if (!aBatch->changes.empty()) {
-      observer_.onConfirmed(aSentAt);
-      Watch(std::min(options_.wait, options_.waitAfterChange));
+      observer_.onConfirmed(aSentAt - aBatch->age);
+      timers_.After(options_.gather, [this] {
+        Watch(std::min(options_.wait, options_.waitAfterChange));
+      });
       return;
     }
     // The store held the call for the whole wait and saw no change.
     const TimePoint now = timers_.Now();
     const bool held = now - aSentAt >= aWait;
-    observer_.onConfirmed(held ? aSentAt + aWait : aSentAt);
+    observer_.onConfirmed((held ? aSentAt + aWait : aSentAt) - aBatch->age);
     if (held) {
       Watch(options_.wait);
     } else {
@@ -113,8 +130,20 @@
     }
   }
 
+  /// A source that was cut off may report entries as removed that come back.
+  void NoteOutage(bool aAfterOutage)
+  {
+    if (aAfterOutage) {
+      regainedAt_ = timers_.Now();
+    }
+  }
+
   void Fail(StoreFault aFault, bool aListAgain)
   {
+    if (aFault == StoreFault::SourceLost) {
+      timers_.After(kSourcePause, [this] { ListFrom(""); });
+      return;
+    }
     if (!lost_) {
       lost_ = true;
       observer_.onLost(aFault);
@@ -156,6 +185,8 @@
   uint64_t firstAsOf_ = 0;
   uint64_t since_ = 0;
   Duration pause_{ 0 };
+  Duration age_{ 0 };
+  bool listedOnce_ = false;
   bool lost_ = false;
   TimePoint regainedAt_{ Duration{ -1'000'000'000 } };
 };
