--- /dev/null
+++ b/src/hibiscusnotch/entry/mirror_role_test.cpp
@@ -0,0 +1,61 @@
+#include "hibiscusnotch/entry/mirror_role.hpp"
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace hibiscusnotch::entry;
+
+namespace {
+
+FleetState
+MakeFleet(std::size_t aPerZone)
+{
+  FleetState fleet;
+  for (std::size_t row = 0; row < aPerZone; ++row) {
+    fleet.instances["east-" + std::to_string(row)] = { {}, "east" };
+    fleet.instances["west-" + std::to_string(row)] = { {}, "west" };
+  }
+  return fleet;
+}
+
+} // namespace
+
+TEST_CASE("in a small zone every instance watches the store")
+{
+  const FleetState fleet = MakeFleet(3);
+  CHECK_FALSE(ZoneHasMirrors(fleet, "east"));
+  for (const auto& [name, row] : fleet.instances) {
+    CHECK(MirrorPeers(fleet, name, row.zone).empty());
+  }
+}
+
+TEST_CASE("in a large zone two watch, and the others read from them")
+{
+  const FleetState fleet = MakeFleet(20);
+  std::set<std::string> watching;
+  std::set<std::string> read;
+  std::set<std::string> firstChoice;
+  for (const auto& [name, row] : fleet.instances) {
+    if (row.zone != "east") {
+      continue;
+    }
+    const auto peers = MirrorPeers(fleet, name, "east");
+    if (peers.empty()) {
+      watching.insert(name);
+    } else {
+      firstChoice.insert(peers.front().name);
+    }
+    for (const auto& peer : peers) {
+      read.insert(peer.name);
+      CHECK(peer.name != name);
+    }
+  }
+  CHECK(watching.size() == 2);
+  CHECK(read == watching); // no circle, and none of another zone
+  CHECK(firstChoice == watching);
+}
+
+TEST_CASE("an instance that is not registered yet reads copies")
+{
+  CHECK(MirrorPeers(MakeFleet(20), "east-new", "east").size() == 2);
+}
--- /dev/null
+++ b/src/hibiscusnotch/entry/rollout_duty_test.cpp
@@ -0,0 +1,159 @@
+#include "hibiscusnotch/entry/rollout_duty.hpp"
+
+#include "hibiscusnotch/testing/fake_store.hpp"
+#include "hibiscusnotch/testing/manual_timers.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace hibiscusnotch::entry;
+using namespace hibiscusnotch::routing;
+using hibiscusnotch::store::Object;
+using hibiscusnotch::store::StoreFault;
+using hibiscusnotch::testing::FakeStore;
+using hibiscusnotch::testing::ManualTimers;
+
+namespace {
+
+constexpr Duration kSecond{ 1'000'000 };
+
+/// Objects whose status is the number of the state.
+class TestCodec : public StoreCodec
+{
+public:
+  const StoreKinds& Kinds() const override { return kinds_; }
+  std::optional<Configuration> ReadConfiguration(
+    const Object& /*aObject*/,
+    std::string& /*aLastReason*/) const override
+  {
+    return std::nullopt;
+  }
+  std::optional<UpstreamEntry> ReadUpstream(
+    const Object& /*aObject*/,
+    std::string& /*aLastReason*/) const override
+  {
+    return std::nullopt;
+  }
+  std::optional<RolloutOrder> ReadRollout(
+    const Object& aObject,
+    std::string& /*aLastReason*/) const override
+  {
+    RolloutOrder order;
+    order.service = aObject.name;
+    order.target = "v2";
+    order.duration = 20 * kSecond;
+    order.revision = aObject.revision;
+    order.creation = aObject.creation;
+    order.state = static_cast<RolloutState>(
+      aObject.status.is_null() ? 0 : aObject.status.get<int>());
+    return order;
+  }
+  nlohmann::json WriteRolloutStatus(const RolloutOrder& /*aOrder*/,
+                                    RolloutState aState) const override
+  {
+    return static_cast<int>(aState);
+  }
+
+private:
+  StoreKinds kinds_{ "c", "u", "r", "e", "i" };
+};
+
+struct Fixture
+{
+  FakeStore store;
+  ManualTimers timers;
+  TestCodec codec;
+  FleetState fleet;
+  EventLog log{ timers, { "test", 0, 0 } };
+  std::unique_ptr<RolloutDuty> duty;
+
+  Fixture()
+  {
+    fleet.instances["self"] = { {}, "east" };
+    duty = MakeRolloutDuty("self", { store, timers, codec, fleet, log });
+  }
+
+  void Order(uint64_t aRevision, RolloutState aState = RolloutState::Ordered)
+  {
+    fleet.rollouts.Apply(*Read(aRevision, aState), timers.Now());
+  }
+
+  std::optional<RolloutOrder> Read(uint64_t aRevision, RolloutState aState)
+  {
+    std::string reason;
+    return codec.ReadRollout(MakeObject(aRevision, aState), reason);
+  }
+
+  static Object MakeObject(uint64_t aRevision, RolloutState aState)
+  {
+    Object object;
+    object.name = "engine";
+    object.revision = aRevision;
+    object.creation = 3;
+    object.status = static_cast<int>(aState);
+    return object;
+  }
+};
+
+} // namespace
+
+TEST_CASE("an order is first said to run, then to have succeeded")
+{
+  Fixture fixture;
+  fixture.Order(3);
+  fixture.timers.Advance(kSecond);
+  REQUIRE(fixture.store.objects.size() == 1);
+  CHECK(fixture.store.objects[0].verb == "status");
+  CHECK(fixture.store.objects[0].object.revision == 3);
+  fixture.store.objects[0].reply(Fixture::MakeObject(4, RolloutState::Running),
+                                 StoreFault::None);
+  fixture.timers.Advance(18 * kSecond);
+  REQUIRE(fixture.store.objects.size() == 2);
+  CHECK(fixture.store.objects[1].object.revision == 4);
+  CHECK(fixture.store.objects[1].object.status ==
+        static_cast<int>(RolloutState::Succeeded));
+}
+
+TEST_CASE("a write whose answer is lost is read back before anything else")
+{
+  Fixture fixture;
+  fixture.Order(3);
+  fixture.timers.Advance(kSecond);
+  fixture.store.objects[0].reply(std::nullopt, StoreFault::NoAnswer);
+  REQUIRE(fixture.store.objects.size() == 2);
+  CHECK(fixture.store.objects[1].verb == "get");
+  fixture.timers.Advance(5 * kSecond);
+  CHECK(fixture.store.objects.size() == 2);
+  fixture.store.objects[1].reply(Fixture::MakeObject(4, RolloutState::Running),
+                                 StoreFault::None);
+  fixture.timers.Advance(kSecond);
+  CHECK(fixture.store.objects.size() == 2); // it had taken effect
+}
+
+TEST_CASE("when two instances race, the store's word is final")
+{
+  Fixture fixture;
+  fixture.Order(3);
+  fixture.timers.Advance(kSecond);
+  fixture.store.objects[0].reply(std::nullopt, StoreFault::Conflict);
+  REQUIRE(fixture.store.objects.size() == 2);
+  fixture.store.objects[1].reply(
+    Fixture::MakeObject(6, RolloutState::RolledBack), StoreFault::None);
+  fixture.timers.Advance(30 * kSecond);
+  CHECK(fixture.store.objects.size() == 2);
+  CHECK(
+    fixture.fleet.rollouts.RuleFor("engine", 0, fixture.timers.Now()).except ==
+    "v2");
+}
+
+TEST_CASE("instances of lower rank leave the write to the others for a while")
+{
+  Fixture fixture;
+  for (int peer = 0; peer < 40; ++peer) {
+    fixture.fleet.instances["peer" + std::to_string(peer)] = { {}, "east" };
+  }
+  fixture.Order(3);
+  fixture.timers.Advance(kSecond / 2);
+  CHECK(fixture.store.objects.empty());
+  fixture.timers.Advance(3 * kSecond);
+  CHECK(fixture.store.objects.size() == 1);
+}
--- /dev/null
+++ b/src/hibiscusnotch/relay/event_splitter_test.cpp
@@ -0,0 +1,31 @@
+#include "hibiscusnotch/relay/event_splitter.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace hibiscusnotch::relay;
+
+TEST_CASE("whole events pass unchanged, however the bytes are cut")
+{
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "versions: 3\nid: 3\ndata: c\n\n";
+  for (std::size_t first = 0; first <= stream.size(); ++first) {
+    EventSplitter splitter;
+    std::string out = splitter.Feed(stream.substr(0, first));
+    out += splitter.Feed(stream.substr(first));
+    CHECK(out == stream);
+    CHECK(splitter.LastId() == "3");
+    CHECK(splitter.Events() == 3);
+    CHECK_FALSE(splitter.HasTail());
+  }
+}
+
+TEST_CASE("an unfinished event is held back and can be dropped")
+{
+  EventSplitter splitter;
+  CHECK(splitter.Feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(splitter.HasTail());
+  CHECK(splitter.LastId() == "1");
+  splitter.DropTail();
+  CHECK(splitter.Feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(splitter.LastId() == "2");
+}
--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -234,6 +234,10 @@
     const std::string_view coding =
       net::FindHeader(headers, "Transfer-Encoding");
     const std::size_t lengths = CountHeader(headers, "Content-Length");
+    const std::string_view length = net::FindHeader(headers, "Content-Length");
+    if (length.find_first_not_of("0123456789") != std::string_view::npos) {
+      return false; // Beast takes a list of equal lengths
+    }
     return CountHeader(headers, "Host") == 1 && lengths <= 1 &&
            CountHeader(headers, "Transfer-Encoding") <= 1 &&
            (coding.empty() || (EqualNoCase(coding, "chunked") && lengths == 0));
--- /dev/null
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -0,0 +1,153 @@
+#include "hibiscusnotch/relay/http_reader.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace hibiscusnotch::relay;
+
+namespace {
+
+/// Reads one request, byte by byte or at once; the fault, or zero.
+int
+FaultOf(std::string aBytes, const RequestLimits& aLimits = {})
+{
+  const auto reader = MakeRequestReader(aLimits);
+  return reader->Read(aBytes) == ReadState::Malformed ? reader->Fault() : 0;
+}
+
+const std::string kGet = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a request is the same however its bytes are cut")
+{
+  const std::string whole = "POST /a/b?c HTTP/1.1\r\nHost: h\r\nX-Y: Z  z\r\n"
+                            "Content-Length: 5\r\n\r\nhello";
+  for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+    const auto reader = MakeRequestReader({});
+    std::string buffer = whole.substr(0, cut);
+    const ReadState first = reader->Read(buffer);
+    CHECK(first ==
+          (cut == whole.size() ? ReadState::Complete : ReadState::NeedMore));
+    buffer += whole.substr(cut);
+    REQUIRE(reader->Read(buffer) == ReadState::Complete);
+    const auto request = reader->Take();
+    CHECK(request.method == "POST");
+    CHECK(request.target == "/a/b?c");
+    CHECK(request.Header("x-y") == "Z  z");
+    CHECK(request.body == "hello");
+    CHECK(buffer.empty());
+  }
+}
+
+TEST_CASE("a chunked body is put together, what follows stays in the buffer")
+{
+  const auto reader = MakeRequestReader({});
+  std::string buffer = "POST / HTTP/1.1\r\nHost: h\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" +
+                       kGet;
+  REQUIRE(reader->Read(buffer) == ReadState::Complete);
+  CHECK(reader->Take().body == "abcde");
+  CHECK(buffer == kGet);
+  REQUIRE(reader->Read(buffer) == ReadState::Complete);
+  CHECK(reader->Take().target == "/a?b=c");
+}
+
+TEST_CASE("what two readers could frame differently is refused")
+{
+  const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+  CHECK(FaultOf(kGet) == 0);
+  CHECK(FaultOf("GET / HTTP/1.1\nHost: h\n\n") == 400);
+  CHECK(FaultOf("GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n") == 400);
+  CHECK(FaultOf("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n") == 400);
+  CHECK(FaultOf("GET / HTTP/1.1\r\nHost : h\r\n\r\n") == 400);
+  CHECK(FaultOf("GET / HTTP/1.1\r\n\r\n") == 400);
+  CHECK(FaultOf("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n") == 400);
+  CHECK(FaultOf(start + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx") ==
+        400);
+  CHECK(FaultOf(start + "Content-Length: 1, 1\r\n\r\nx") == 400);
+  CHECK(FaultOf(start + "Content-Length: +1\r\n\r\nx") == 400);
+  CHECK(FaultOf(start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+                        "\r\n0\r\n\r\n") == 400);
+  CHECK(FaultOf(start + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"
+                        "\r\n0\r\n\r\n") == 400);
+  CHECK(FaultOf(start + "Transfer-Encoding: gzip, chunked\r\n\r\n"
+                        "0\r\n\r\n") == 400);
+  CHECK(FaultOf(start + "Transfer-Encoding: xchunked\r\n\r\n") == 400);
+  CHECK(FaultOf(start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n") == 400);
+  CHECK(FaultOf(std::string("GET / HTTP/1.1\r\nHost: h\0\r\n\r\n", 30)) == 400);
+}
+
+TEST_CASE("limits have their own codes")
+{
+  RequestLimits limits;
+  limits.maxHeaderBytes = 100;
+  limits.maxBodyBytes = 10;
+  CHECK(FaultOf("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(100, 'x') +
+                  "\r\n\r\n",
+                limits) == 431);
+  CHECK(FaultOf("GET / HTTP/1.1\r\nX: " + std::string(100, 'x'), limits) ==
+        431);
+  CHECK(FaultOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n",
+                limits) == 413);
+  CHECK(FaultOf("POST / HTTP/1.1\r\nHost: h\r\n"
+                "Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n",
+                limits) == 413);
+}
+
+TEST_CASE("a response's head is known while its first chunk is unfinished")
+{
+  const auto reader = MakeResponseReader(false);
+  std::string buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "8\r\nab";
+  CHECK(reader->Read(buffer) == ReadState::NeedMore);
+  REQUIRE(reader->HasHead());
+  CHECK(reader->Head().status == 200);
+  CHECK(reader->Head().hasLength);
+  buffer += "cdefgh\r\n0\r\n\r\n";
+  CHECK(reader->Read(buffer) == ReadState::Complete);
+}
+
+TEST_CASE("a response that is cut short is never complete")
+{
+  for (const char* whole :
+       { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "5\r\nhello\r\n0\r\n\r\n" }) {
+    const std::string text = whole;
+    for (std::size_t cut = 0; cut < text.size(); ++cut) {
+      const auto reader = MakeResponseReader(false);
+      std::string buffer = text.substr(0, cut);
+      CHECK(reader->Read(buffer) == ReadState::NeedMore);
+      CHECK(reader->ReadEnd() == ReadState::Malformed);
+    }
+  }
+}
+
+TEST_CASE("a response without length ends with its connection")
+{
+  const auto reader = MakeResponseReader(false);
+  std::string buffer = "HTTP/1.1 200 OK\r\n\r\nhello";
+  CHECK(reader->Read(buffer) == ReadState::NeedMore);
+  CHECK_FALSE(reader->Head().hasLength);
+  CHECK(reader->TakeBody() == "hello");
+  CHECK(reader->ReadEnd() == ReadState::Complete);
+}
+
+TEST_CASE("bytes that are no response are malformed")
+{
+  for (const char* bytes :
+       { "garbage\r\n\r\n", "HTTP/1.1 abc\r\n\r\n", "\x16\x03\x01\x02\x00" }) {
+    const auto reader = MakeResponseReader(false);
+    std::string buffer = bytes;
+    reader->Read(buffer);
+    CHECK(reader->ReadEnd() == ReadState::Malformed);
+  }
+}
+
+TEST_CASE("the answer to a HEAD request has no body whatever its length says")
+{
+  const auto reader = MakeResponseReader(true);
+  std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n";
+  CHECK(reader->Read(buffer) == ReadState::Complete);
+}
--- /dev/null
+++ b/src/hibiscusnotch/routing/cold_part_test.cpp
@@ -0,0 +1,48 @@
+#include "hibiscusnotch/routing/cold_part.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace hibiscusnotch::routing;
+
+TEST_CASE("the parts of any number of instances add up to the rate at most")
+{
+  for (const double rate : { 0.5, 1.0, 7.0, 17.0, 40.0 }) {
+    for (std::size_t count = 1; count <= 400; count = count * 2 + 1) {
+      std::vector<std::string> names;
+      for (std::size_t row = 0; row < count; ++row) {
+        names.push_back("instance-" + std::to_string(row));
+      }
+      std::vector<ColdSender> senders;
+      for (std::size_t row = 0; row < count; ++row) {
+        senders.push_back({ names[row], row % 3 == 0 });
+      }
+      double sum = 0;
+      for (const std::string& name : names) {
+        sum += ColdPart(rate, "upstream", name, senders);
+      }
+      CAPTURE(rate);
+      CAPTURE(count);
+      CHECK(sum <= rate);
+      CHECK(sum > rate - 1); // and no whole request is lost
+    }
+  }
+}
+
+TEST_CASE("in a large fleet the parts go to instances of the upstream's zone")
+{
+  const std::vector<ColdSender> senders{
+    { "a", false }, { "b", true }, { "c", false }, { "d", true }
+  };
+  CHECK(ColdPart(2, "u", "b", senders) == 1);
+  CHECK(ColdPart(2, "u", "d", senders) == 1);
+  CHECK(ColdPart(2, "u", "a", senders) == 0);
+  CHECK(ColdPart(2, "u", "c", senders) == 0);
+}
+
+TEST_CASE("an instance that its peers do not know sends nothing")
+{
+  const std::vector<ColdSender> senders{ { "a", true }, { "b", true } };
+  CHECK(ColdPart(10, "u", "c", senders) == 0);
+}
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -16,7 +16,7 @@
 constexpr double kSuspectTokens = 1e7;    // only when nothing else is left
 constexpr double kFailingTokens = 1e5;    // fails much more than its peers
 constexpr double kLapsedTokens = 1e6;     // its entry may be stale
-constexpr double kFailingMargin = 0.3;    // share above the service's mean
+constexpr double kFailingMargin = 0.3;    // share above the usual one
 constexpr double kFewestOutcomes = 4;     // before a failure share counts
 constexpr std::size_t kCandidates = 2;    // homes of one shared prompt part
 
@@ -36,18 +36,24 @@
   return aRequest.onlyVersion.empty() || aVersion == aRequest.onlyVersion;
 }
 
+/// The failure share of a usual upstream: the lower median, so that one that
+/// fails does not count as usual where there are only two.
 double
-MeanFailureShare(std::span<const Candidate> aCandidates)
+UsualFailureShare(std::span<const Candidate> aCandidates)
 {
-  double sum = 0;
-  double count = 0;
+  std::vector<double> shares;
   for (const Candidate& candidate : aCandidates) {
     if (candidate.row->outcomes >= kFewestOutcomes) {
-      sum += candidate.row->failureShare;
-      count += 1;
+      shares.push_back(candidate.row->failureShare);
     }
   }
-  return count > 0 ? sum / count : 0;
+  if (shares.empty()) {
+    return 0;
+  }
+  const auto middle =
+    shares.begin() + static_cast<std::ptrdiff_t>((shares.size() - 1) / 2);
+  std::ranges::nth_element(shares, middle);
+  return *middle;
 }
 
 double
@@ -55,7 +61,7 @@
        const PlacementView& aView,
        const PlacementRequest& aRequest,
        bool aCached,
-       double aMeanFailures)
+       double aUsualFailures)
 {
   const Upstream& row = *aCandidate.row;
   const double load = UpstreamTable::Load(row, aView.now);
@@ -80,7 +86,7 @@
     cost += kLapsedTokens;
   }
   if (row.outcomes >= kFewestOutcomes &&
-      row.failureShare > aMeanFailures + kFailingMargin) {
+      row.failureShare > aUsualFailures + kFailingMargin) {
     cost += kFailingTokens;
   }
   return cost;
@@ -166,13 +172,13 @@
   if (!aRequest.affinityKey.empty()) {
     homes = CachedHomes(candidates, aView.homeZone);
   }
-  const double meanFailures = MeanFailureShare(candidates);
+  const double usualFailures = UsualFailureShare(candidates);
   const Candidate* best = nullptr;
   double bestCost = 0;
   for (const Candidate& candidate : candidates) {
     const bool cached = std::ranges::find(homes, candidate.id) != homes.end();
     const double cost =
-      CostOf(candidate, aView, aRequest, cached, meanFailures);
+      CostOf(candidate, aView, aRequest, cached, usualFailures);
     // Equal costs are split by the key's weight, so instances do not herd.
     if (!best || cost < bestCost ||
         (cost == bestCost && candidate.weight > best->weight)) {
--- /dev/null
+++ b/src/hibiscusnotch/routing/placement_test.cpp
@@ -0,0 +1,202 @@
+#include "hibiscusnotch/routing/placement.hpp"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <limits>
+#include <map>
+
+using namespace hibiscusnotch::routing;
+using hibiscusnotch::core::Reason;
+
+namespace {
+
+const TimePoint kNow{ Duration{ 100'000'000 } };
+constexpr Duration kSecond{ 1'000'000 };
+
+struct Fixture
+{
+  UpstreamTable table;
+  std::set<std::string, std::less<>> zonesOut;
+  double coldPart = std::numeric_limits<double>::infinity();
+  Reason reason = Reason::None;
+
+  UpstreamId Add(const std::string& aName,
+                 const std::string& aZone = "east",
+                 const std::string& aVersion = "v1")
+  {
+    UpstreamEntry entry;
+    entry.name = aName;
+    entry.service = "engine";
+    entry.zone = aZone;
+    entry.softwareVersion = aVersion;
+    entry.slots = 64;
+    entry.incarnation = 1;
+    return table.Apply(entry, kNow);
+  }
+
+  std::optional<UpstreamId> Choose(PlacementRequest aRequest,
+                                   TimePoint aNow = kNow)
+  {
+    aRequest.service = "engine";
+    const PlacementView view{ table,
+                              zonesOut,
+                              "east",
+                              [this](const Upstream&) { return coldPart; },
+                              aNow };
+    return Place(view, aRequest, reason);
+  }
+};
+
+PlacementRequest
+ForPrompt(std::string_view aKey, double aShared)
+{
+  PlacementRequest request;
+  request.model = "m";
+  request.affinityKey = aKey;
+  request.sharedTokens = aShared;
+  request.promptTokens = aShared + 500;
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("leaving, gone and evacuated upstreams get nothing")
+{
+  Fixture fixture;
+  const UpstreamId leaving = fixture.Add("leaving");
+  fixture.Add("gone");
+  fixture.Add("out", "west");
+  fixture.zonesOut.insert("west");
+  fixture.table.Remove("gone", false, kNow);
+  UpstreamEntry entry = fixture.table.Find(leaving)->entry;
+  entry.leaving = true;
+  fixture.table.Apply(entry, kNow);
+  CHECK_FALSE(fixture.Choose({}));
+  CHECK(fixture.reason != Reason::None);
+  fixture.zonesOut.clear();
+  CHECK(fixture.Choose({}) == fixture.table.FindByName("out"));
+}
+
+TEST_CASE("a cold upstream gets its part of a second and no more")
+{
+  Fixture fixture;
+  const UpstreamId id = fixture.Add("u");
+  UpstreamEntry entry = fixture.table.Find(id)->entry;
+  entry.coldFor = 5 * kSecond;
+  fixture.table.Apply(entry, kNow);
+  fixture.coldPart = 2;
+  for (int sent = 0; sent < 2; ++sent) {
+    REQUIRE(fixture.Choose({}));
+    fixture.table.CountSend(id, 0, kNow);
+  }
+  CHECK_FALSE(fixture.Choose({}));
+  CHECK(fixture.reason == Reason::ColdStartLimit);
+  CHECK(fixture.Choose({}, kNow + kSecond + Duration{ 1 }));
+}
+
+TEST_CASE("prompts that share a part meet at the same few upstreams")
+{
+  Fixture fixture;
+  for (int row = 0; row < 12; ++row) {
+    fixture.Add("u" + std::to_string(row));
+  }
+  std::map<std::string, std::set<UpstreamId>> used;
+  for (int round = 0; round < 5; ++round) {
+    for (const char* key : { "a", "b", "c" }) {
+      const auto chosen = fixture.Choose(ForPrompt(key, 5000));
+      REQUIRE(chosen);
+      used[key].insert(*chosen);
+      fixture.table.CountSend(*chosen, 5500, kNow);
+      fixture.table.CountFirstOutput(*chosen, 5500);
+    }
+  }
+  for (const auto& [key, upstreams] : used) {
+    CAPTURE(key);
+    CHECK(upstreams.size() <= 2);
+  }
+}
+
+TEST_CASE("one hot prompt spills over once its homes are behind")
+{
+  // Pattern: much of the traffic shares one key.
+  Fixture fixture;
+  for (int row = 0; row < 6; ++row) {
+    fixture.Add("u" + std::to_string(row));
+  }
+  std::set<UpstreamId> used;
+  for (int request = 0; request < 60; ++request) {
+    const auto chosen = fixture.Choose(ForPrompt("hot", 5000));
+    REQUIRE(chosen);
+    used.insert(*chosen);
+    fixture.table.CountSend(*chosen, 5500, kNow);
+  }
+  CHECK(used.size() == 6);
+}
+
+TEST_CASE("an upstream of the own zone is preferred until it is loaded")
+{
+  Fixture fixture;
+  const UpstreamId near = fixture.Add("near", "east");
+  const UpstreamId far = fixture.Add("far", "west");
+  PlacementRequest request;
+  CHECK(fixture.Choose(request) == near);
+  for (int sent = 0; sent < 4; ++sent) {
+    fixture.table.CountSend(near, 0, kNow);
+  }
+  CHECK(fixture.Choose(request) == far);
+}
+
+TEST_CASE("an upstream that fails far more than its peers is passed over")
+{
+  // Pattern: requests fail while the health check is good.
+  Fixture fixture;
+  const UpstreamId failing = fixture.Add("failing");
+  const UpstreamId sound = fixture.Add("sound");
+  for (int outcome = 0; outcome < 8; ++outcome) {
+    fixture.table.CountOutcome(failing, false);
+    fixture.table.CountOutcome(sound, outcome % 7 != 0);
+  }
+  for (int sent = 0; sent < 20; ++sent) {
+    fixture.table.CountSend(sound, 0, kNow);
+  }
+  CHECK(fixture.Choose({}) == sound);
+}
+
+TEST_CASE("a service whose upstreams all fail alike is not shut off")
+{
+  Fixture fixture;
+  const UpstreamId left = fixture.Add("left");
+  const UpstreamId right = fixture.Add("right");
+  for (int outcome = 0; outcome < 8; ++outcome) {
+    fixture.table.CountOutcome(left, false);
+    fixture.table.CountOutcome(right, false);
+  }
+  CHECK(fixture.Choose({}));
+}
+
+TEST_CASE("suspects and lapsed entries serve when nothing else is left")
+{
+  Fixture fixture;
+  const UpstreamId suspect = fixture.Add("suspect");
+  const UpstreamId lapsed = fixture.Add("lapsed");
+  fixture.table.CountUnreachable(suspect, Duration::zero(), kNow);
+  fixture.table.Remove("lapsed", true, kNow);
+  CHECK(fixture.Choose({}) == lapsed);
+  const std::array tried{ lapsed };
+  PlacementRequest request;
+  request.tried = tried;
+  CHECK(fixture.Choose(request) == suspect);
+}
+
+TEST_CASE("software versions are kept apart during a roll-out")
+{
+  Fixture fixture;
+  const UpstreamId former = fixture.Add("former", "east", "v1");
+  const UpstreamId latter = fixture.Add("latter", "east", "v2");
+  PlacementRequest request;
+  request.onlyVersion = "v2";
+  CHECK(fixture.Choose(request) == latter);
+  request.onlyVersion = {};
+  request.exceptVersion = "v2";
+  CHECK(fixture.Choose(request) == former);
+}
--- /dev/null
+++ b/src/hibiscusnotch/routing/retry_allowance_test.cpp
@@ -0,0 +1,80 @@
+#include "hibiscusnotch/routing/retry_allowance.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace hibiscusnotch::routing;
+using hibiscusnotch::core::Duration;
+using hibiscusnotch::core::TimePoint;
+
+namespace {
+
+const TimePoint kStart{ Duration{ 100'000'000 } };
+
+RetryLimits
+MakeLimits(double aRatio, double aFloor)
+{
+  RetryLimits limits;
+  limits.ratio = aRatio;
+  limits.floor = aFloor;
+  return limits;
+}
+
+} // namespace
+
+TEST_CASE("repeats stay below ratio and floor in every window, fleet-wide")
+{
+  constexpr std::size_t kInstances = 8;
+  const RetryLimits limits = MakeLimits(0.5, 40);
+  std::vector<RetryAllowance> fleet(kInstances);
+  std::vector<std::pair<TimePoint, bool>> sends; // time, repeat
+  for (int step = 0; step < 6000; ++step) {
+    const TimePoint now = kStart + Duration{ step * 10'000 };
+    RetryAllowance& instance = fleet[static_cast<std::size_t>(step) % 8];
+    // Load that stops and starts, with twice as many failures as requests.
+    if ((step / 1500) % 2 == 0) {
+      instance.CountRequest(now);
+      sends.emplace_back(now, false);
+    }
+    for (int failure = 0; failure < 2; ++failure) {
+      if (instance.Take(limits, kInstances, 1, now)) {
+        sends.emplace_back(now, true);
+      }
+    }
+  }
+  for (std::size_t first = 0; first < sends.size(); first += 7) {
+    double requests = 0;
+    double repeats = 0;
+    const TimePoint begin = sends[first].first;
+    for (const auto& [time, repeat] : sends) {
+      const bool here = time >= begin && time < begin + limits.window;
+      const bool before = time >= begin - limits.window && time < begin;
+      repeats += here && repeat ? 1 : 0;
+      // Requests of this window or the one before it count.
+      requests += (here || before) && !repeat ? 1 : 0;
+    }
+    CHECK(repeats <= limits.ratio * requests + limits.floor);
+  }
+}
+
+TEST_CASE("an instance with no traffic keeps its part of the floor")
+{
+  RetryAllowance allowance;
+  const RetryLimits limits = MakeLimits(0.5, 40);
+  int taken = 0;
+  while (allowance.Take(limits, 4, 1, kStart)) {
+    ++taken;
+  }
+  CHECK(taken >= 1);
+  CHECK(taken <= 10);
+  CHECK(allowance.Take(limits, 4, 1, kStart + limits.window * 2));
+}
+
+TEST_CASE("a use with a smaller share leaves room for the others")
+{
+  RetryAllowance allowance;
+  const RetryLimits limits = MakeLimits(0.5, 100);
+  while (allowance.Take(limits, 1, 0.5, kStart)) {
+  }
+  CHECK(allowance.Take(limits, 1, 1, kStart));
+}
--- /dev/null
+++ b/src/hibiscusnotch/routing/rollout_test.cpp
@@ -0,0 +1,212 @@
+#include "hibiscusnotch/routing/rollout.hpp"
+
+#include "hibiscusnotch/core/rendezvous.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace hibiscusnotch::routing;
+using hibiscusnotch::core::StableHash;
+
+namespace {
+
+const TimePoint kStart{ Duration{ 100'000'000 } };
+constexpr Duration kSecond{ 1'000'000 };
+
+RolloutOrder
+MakeOrder(RolloutState aState = RolloutState::Ordered)
+{
+  RolloutOrder order;
+  order.service = "engine";
+  order.target = "v2";
+  order.duration = 24 * kSecond;
+  order.revision = 5;
+  order.creation = 5;
+  order.state = aState;
+  return order;
+}
+
+/// Eight instances that exchange evidence, before one bad or good version.
+struct Fleet
+{
+  std::vector<Rollouts> instances{ 8 };
+  int requests = 0;
+  int exposed = 0;
+  int badAnswers = 0;
+  std::optional<RolloutState> decided;
+
+  Fleet()
+  {
+    for (Rollouts& rollouts : instances) {
+      rollouts.Apply(MakeOrder(), kStart);
+    }
+  }
+
+  /// Plays traffic until an instance decides, or the time is over.
+  template<class FailsAt>
+  void Play(Duration aUntil, int aRequestsPerSecond, FailsAt aFails)
+  {
+    const Duration step = kSecond / aRequestsPerSecond;
+    Duration at{ 0 };
+    for (int request = 0; at < aUntil && !Done(); ++request, at += step) {
+      const TimePoint now = kStart + at;
+      Rollouts& self = instances[static_cast<std::size_t>(request) % 8];
+      const std::string route = request % 3 == 0 ? "brief" : "check";
+      const VersionRule rule = self.RuleFor(
+        "engine", StableHash("session" + std::to_string(request)), now);
+      const bool target = rule.only == "v2";
+      const bool bad = target && aFails(at, route, request);
+      ++requests;
+      exposed += target ? 1 : 0;
+      badAnswers += bad ? 1 : 0;
+      self.CountAnswer(
+        "engine", target ? "v2" : "v1", route, route, !bad, kSecond / 10, now);
+      if (request % 10 == 0) {
+        Exchange(now);
+      }
+    }
+  }
+
+  void Exchange(TimePoint aNow)
+  {
+    for (std::size_t from = 0; from < instances.size(); ++from) {
+      for (const auto& [service, evidence] :
+           instances[from].OwnEvidence(aNow)) {
+        for (std::size_t to = 0; to < instances.size(); ++to) {
+          if (from != to) {
+            instances[to].TakeEvidence(
+              service, "instance" + std::to_string(from), evidence);
+          }
+        }
+      }
+    }
+    for (Rollouts& rollouts : instances) {
+      const auto wanted = rollouts.Wanted("engine", aNow);
+      if (wanted && *wanted != RolloutState::Running) {
+        decided = wanted;
+      }
+    }
+  }
+
+  bool Done() const { return decided.has_value(); }
+};
+
+} // namespace
+
+TEST_CASE("a version that is bad from the start is rolled back in time")
+{
+  Fleet fleet;
+  fleet.Play(24 * kSecond, 36, [](Duration, const std::string&, int aNumber) {
+    return aNumber % 2 == 0;
+  });
+  REQUIRE(fleet.decided == RolloutState::RolledBack);
+  CHECK(fleet.badAnswers < 50);
+  CHECK(fleet.exposed <= 0.12 * fleet.requests + 30);
+}
+
+TEST_CASE("a version that turns bad later is rolled back")
+{
+  Fleet fleet;
+  fleet.Play(
+    24 * kSecond, 36, [](Duration aAt, const std::string&, int aNumber) {
+      return aAt > 8 * kSecond && aNumber % 2 == 0;
+    });
+  REQUIRE(fleet.decided == RolloutState::RolledBack);
+  CHECK(fleet.badAnswers < 50);
+}
+
+TEST_CASE("a version that is bad on one route only is rolled back")
+{
+  Fleet fleet;
+  fleet.Play(
+    24 * kSecond, 36, [](Duration, const std::string& aRoute, int aNumber) {
+      return aRoute == "brief" && aNumber % 2 == 0;
+    });
+  REQUIRE(fleet.decided == RolloutState::RolledBack);
+  // All requests of the order's time count against the exposure.
+  CHECK(fleet.exposed <= 0.12 * 24 * 36 + 30);
+}
+
+TEST_CASE("a good version succeeds well before its time is over")
+{
+  Fleet fleet;
+  fleet.Play(
+    24 * kSecond, 36, [](Duration, const std::string&, int) { return false; });
+  CHECK(fleet.decided == RolloutState::Succeeded);
+}
+
+TEST_CASE("ordinary failures that the old version shows too do no harm")
+{
+  Rollouts rollouts;
+  rollouts.Apply(MakeOrder(), kStart);
+  for (int answer = 0; answer < 200; ++answer) {
+    rollouts.CountAnswer(
+      "engine", "v1", "r", "r", answer % 7 != 0, kSecond / 10, kStart);
+  }
+  for (int answer = 0; answer < 40; ++answer) {
+    rollouts.CountAnswer(
+      "engine", "v2", "r", "r", answer % 7 != 0, kSecond / 10, kStart);
+  }
+  CHECK(rollouts.Wanted("engine", kStart) == RolloutState::Running);
+}
+
+TEST_CASE("a version that is several times slower is bad")
+{
+  Rollouts rollouts;
+  rollouts.Apply(MakeOrder(), kStart);
+  for (int answer = 0; answer < 20; ++answer) {
+    rollouts.CountAnswer("engine", "v1", "r", "r", true, kSecond / 5, kStart);
+  }
+  for (int answer = 0; answer < 8; ++answer) {
+    rollouts.CountAnswer("engine", "v2", "r", "r", true, kSecond, kStart);
+  }
+  CHECK(rollouts.Wanted("engine", kStart) == RolloutState::RolledBack);
+  CHECK(rollouts.RuleFor("engine", 0, kStart).except == "v2");
+}
+
+TEST_CASE("a session stays where it is through the first half")
+{
+  Rollouts rollouts;
+  rollouts.Apply(MakeOrder(), kStart);
+  for (int session = 0; session < 500; ++session) {
+    const uint64_t key = StableHash("s" + std::to_string(session));
+    const VersionRule first = rollouts.RuleFor("engine", key, kStart);
+    for (int second = 1; second <= 12; ++second) {
+      CHECK(rollouts.RuleFor("engine", key, kStart + second * kSecond).only ==
+            first.only);
+    }
+    // Whoever is on the new version stays there while it is good.
+    if (first.only == "v2") {
+      CHECK(rollouts.RuleFor("engine", key, kStart + 20 * kSecond).only ==
+            "v2");
+    }
+  }
+}
+
+TEST_CASE("what others wrote is followed, and older revisions are not")
+{
+  Rollouts rollouts;
+  RolloutOrder order = MakeOrder(RolloutState::RolledBack);
+  order.revision = 9;
+  rollouts.Apply(order, kStart);
+  RolloutOrder former = MakeOrder(RolloutState::Running);
+  former.revision = 7;
+  rollouts.Apply(former, kStart);
+  CHECK(rollouts.RuleFor("engine", 0, kStart).except == "v2");
+  CHECK_FALSE(rollouts.Wanted("engine", kStart));
+  CHECK_FALSE(rollouts.AnyOpen());
+}
+
+TEST_CASE("evidence on an earlier order is not mixed into a new one")
+{
+  Rollouts rollouts;
+  rollouts.Apply(MakeOrder(), kStart);
+  RolloutEvidence evidence;
+  evidence.creation = 4;
+  evidence.target["r"] = { 0, 100 };
+  rollouts.TakeEvidence("engine", "peer", evidence);
+  CHECK(rollouts.Wanted("engine", kStart) == RolloutState::Running);
+  evidence.creation = 5;
+  rollouts.TakeEvidence("engine", "peer", evidence);
+  CHECK(rollouts.Wanted("engine", kStart) == RolloutState::RolledBack);
+}
--- /dev/null
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -0,0 +1,111 @@
+#include "hibiscusnotch/routing/upstream_table.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace hibiscusnotch::routing;
+
+namespace {
+
+const TimePoint kNow{ Duration{ 100'000'000 } };
+constexpr Duration kSecond{ 1'000'000 };
+
+UpstreamEntry
+MakeEntry(const std::string& aName, int64_t aIncarnation = 1)
+{
+  UpstreamEntry entry;
+  entry.name = aName;
+  entry.service = "engine";
+  entry.endpoint = { "10.0.0.1", 80 };
+  entry.zone = "east";
+  entry.incarnation = aIncarnation;
+  return entry;
+}
+
+} // namespace
+
+TEST_CASE("a new incarnation under the same name starts with nothing known")
+{
+  UpstreamTable table;
+  const UpstreamId first = table.Apply(MakeEntry("u", 1), kNow);
+  table.CountSend(first, 100, kNow);
+  table.CountOutcome(first, false);
+  const UpstreamId second = table.Apply(MakeEntry("u", 2), kNow);
+  CHECK(first != second);
+  CHECK(table.Find(first)->gone);
+  CHECK(table.Find(second)->inFlight == 0);
+  CHECK(table.Find(second)->outcomes == 0);
+  CHECK(table.FindByName("u") == second);
+}
+
+TEST_CASE("an address that another service got is another upstream")
+{
+  UpstreamTable table;
+  const UpstreamId first = table.Apply(MakeEntry("u"), kNow);
+  UpstreamEntry moved = MakeEntry("u");
+  moved.service = "other";
+  CHECK(table.Apply(moved, kNow) != first);
+  CHECK(table.Find(first)->gone);
+}
+
+TEST_CASE("a removed entry is gone at once, a lapsed one after its grace")
+{
+  UpstreamTable table;
+  const UpstreamId gone = table.Apply(MakeEntry("gone"), kNow);
+  const UpstreamId lapsed = table.Apply(MakeEntry("lapsed"), kNow);
+  table.Remove("gone", false, kNow);
+  table.Remove("lapsed", true, kNow);
+  CHECK(table.Find(gone)->gone);
+  CHECK_FALSE(table.Find(lapsed)->gone);
+  table.Sweep(kNow + kSecond);
+  CHECK(table.Find(gone) == nullptr);
+  CHECK_FALSE(table.Find(lapsed)->gone);
+  table.Sweep(kNow + UpstreamTable::kLapseGrace);
+  CHECK(table.Find(lapsed) == nullptr);
+}
+
+TEST_CASE("a lapsed entry that comes back is used as before")
+{
+  UpstreamTable table;
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
+  table.Remove("u", true, kNow);
+  CHECK(table.Apply(MakeEntry("u"), kNow + kSecond) == id);
+  table.Sweep(kNow + 10 * kSecond);
+  CHECK_FALSE(table.Find(id)->gone);
+}
+
+TEST_CASE("a gone upstream is remembered while work on it is open")
+{
+  UpstreamTable table;
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
+  table.CountSend(id, 0, kNow);
+  table.Remove("u", false, kNow);
+  table.Sweep(kNow + kSecond);
+  REQUIRE(table.Find(id) != nullptr);
+  table.CountEnd(id);
+  table.Sweep(kNow + kSecond);
+  CHECK(table.Find(id) == nullptr);
+}
+
+TEST_CASE("an upstream that was unreachable twice counts as cold on its return")
+{
+  UpstreamTable table;
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
+  table.CountUnreachable(id, 3 * kSecond, kNow);
+  CHECK(table.Find(id)->coldUntil <= kNow);
+  table.CountUnreachable(id, 3 * kSecond, kNow);
+  CHECK(table.Find(id)->coldUntil > kNow + 3 * kSecond);
+  CHECK(table.Find(id)->suspectUntil > kNow);
+  table.CountReachable(id);
+  CHECK(table.Find(id)->suspectUntil <= kNow);
+}
+
+TEST_CASE("load of other instances is what was reported beyond one's own")
+{
+  UpstreamTable table;
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
+  table.CountSend(id, 0, kNow);
+  table.CountLoad(id, { 9, 2, 64 }, kNow);
+  CHECK(UpstreamTable::Load(*table.Find(id), kNow) == doctest::Approx(11));
+  // An old report counts for less.
+  CHECK(UpstreamTable::Load(*table.Find(id), kNow + 5 * kSecond) < 2);
+}
--- /dev/null
+++ b/src/hibiscusnotch/store/watcher_test.cpp
@@ -0,0 +1,157 @@
+#include "hibiscusnotch/store/watcher.hpp"
+
+#include "hibiscusnotch/testing/fake_store.hpp"
+#include "hibiscusnotch/testing/manual_timers.hpp"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace hibiscusnotch::store;
+using hibiscusnotch::testing::FakeStore;
+using hibiscusnotch::testing::MakeObject;
+using hibiscusnotch::testing::ManualTimers;
+
+namespace {
+
+constexpr Duration kSecond{ 1'000'000 };
+
+struct Fixture
+{
+  FakeStore store;
+  ManualTimers timers;
+  std::vector<std::vector<Object>> listed;
+  std::vector<Change> changes;
+  TimePoint confirmed{};
+  int lost = 0;
+  int regained = 0;
+  std::unique_ptr<Watcher> watcher;
+
+  Fixture()
+  {
+    WatcherOptions options;
+    options.kind = "kind";
+    options.wait = 2 * kSecond;
+    options.waitAfterChange = kSecond / 2;
+    WatcherObserver observer;
+    observer.onList = [this](const std::vector<Object>& aObjects, uint64_t) {
+      listed.push_back(aObjects);
+    };
+    observer.onChange = [this](const Change& aChange, uint64_t) {
+      changes.push_back(aChange);
+    };
+    observer.onConfirmed = [this](TimePoint aTime) { confirmed = aTime; };
+    observer.onLost = [this](StoreFault) { ++lost; };
+    observer.onRegained = [this] { ++regained; };
+    watcher = MakeWatcher(store, timers, options, observer);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a long list is read page by page before it counts")
+{
+  Fixture fixture;
+  fixture.store.AnswerList(0, { MakeObject("a", 1) }, 10, true);
+  CHECK(fixture.listed.empty());
+  REQUIRE(fixture.store.lists.size() == 2);
+  CHECK(fixture.store.lists[1].after == "a");
+  fixture.store.AnswerList(1, { MakeObject("b", 2) }, 12);
+  REQUIRE(fixture.listed.size() == 1);
+  CHECK(fixture.listed[0].size() == 2);
+  // Changes between the two pages are seen again by the watch.
+  CHECK(fixture.store.watches.at(0).since == 10);
+}
+
+TEST_CASE("a wait without a change confirms all up to its end")
+{
+  Fixture fixture;
+  const TimePoint start = fixture.timers.Now();
+  fixture.store.AnswerList(0, {}, 10);
+  CHECK(fixture.confirmed == start);
+  fixture.timers.Advance(2 * kSecond + kSecond / 10);
+  fixture.store.AnswerWatch(0, {}, 10);
+  CHECK(fixture.confirmed == start + 2 * kSecond);
+}
+
+TEST_CASE("a change confirms no more than what was known when it was asked")
+{
+  Fixture fixture;
+  const TimePoint start = fixture.timers.Now();
+  fixture.store.AnswerList(0, {}, 10);
+  fixture.timers.Advance(kSecond);
+  fixture.store.AnswerWatch(0, { { MakeObject("a", 11), false } }, 11);
+  CHECK(fixture.confirmed == start);
+  CHECK(fixture.changes.size() == 1);
+  // The next watch is short, so that the confirmation follows soon.
+  fixture.timers.Advance(kSecond / 2);
+  REQUIRE(fixture.store.watches.size() == 2);
+  CHECK(fixture.store.watches[1].wait == kSecond / 2);
+  CHECK(fixture.store.watches[1].since == 11);
+}
+
+TEST_CASE("an early empty answer confirms nothing beyond its start")
+{
+  Fixture fixture;
+  fixture.store.AnswerList(0, {}, 10);
+  fixture.timers.Advance(kSecond / 10);
+  const TimePoint sent = fixture.timers.Now() - kSecond / 10;
+  fixture.store.AnswerWatch(0, {}, 10);
+  CHECK(fixture.confirmed == sent);
+}
+
+TEST_CASE("forgotten history leads to a new list, not to missed changes")
+{
+  Fixture fixture;
+  fixture.store.AnswerList(0, { MakeObject("a", 1) }, 10);
+  fixture.store.FailWatch(0, StoreFault::HistoryGone);
+  fixture.timers.Advance(kSecond);
+  REQUIRE(fixture.store.lists.size() == 2);
+  fixture.store.AnswerList(1, {}, 30);
+  CHECK(fixture.listed.back().empty());
+}
+
+TEST_CASE("after a failure the watch goes on from where it was")
+{
+  Fixture fixture;
+  fixture.store.AnswerList(0, {}, 10);
+  fixture.store.FailWatch(0, StoreFault::NoAnswer);
+  CHECK(fixture.lost == 1);
+  CHECK(fixture.watcher->Lost());
+  fixture.timers.Advance(kSecond);
+  REQUIRE(fixture.store.watches.size() == 2);
+  CHECK(fixture.store.watches[1].since == 10);
+  fixture.store.AnswerWatch(1, { { MakeObject("a", 12), false } }, 12);
+  CHECK(fixture.regained == 1);
+  CHECK(fixture.watcher->RecentlyLost(fixture.timers.Now()));
+  CHECK_FALSE(
+    fixture.watcher->RecentlyLost(fixture.timers.Now() + 3 * kSecond));
+}
+
+TEST_CASE("a source that lags behind what is known changes nothing")
+{
+  Fixture fixture;
+  fixture.store.AnswerList(0, { MakeObject("a", 1) }, 10);
+  fixture.store.FailWatch(0, StoreFault::SourceLost);
+  CHECK(fixture.lost == 0); // another source is asked first
+  fixture.timers.Advance(kSecond / 10);
+  REQUIRE(fixture.store.lists.size() == 2);
+  fixture.store.AnswerList(1, {}, 9);
+  CHECK(fixture.listed.size() == 1);
+  fixture.timers.Advance(kSecond / 10);
+  REQUIRE(fixture.store.lists.size() == 3);
+}
+
+TEST_CASE("failures are retried with a growing pause that has an end")
+{
+  Fixture fixture;
+  fixture.store.AnswerList(0, {}, 10);
+  std::size_t answered = 0;
+  for (int step = 0; step < 1000; ++step) {
+    while (answered < fixture.store.watches.size()) {
+      fixture.store.FailWatch(answered++, StoreFault::Refused);
+    }
+    fixture.timers.Advance(kSecond / 100);
+  }
+  CHECK(answered > 8);  // still asked about every second
+  CHECK(answered < 30); // and not in a tight loop
+}
--- /dev/null
+++ b/src/hibiscusnotch/testing/fake_caller.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// @brief A caller whose responses a test writes.
+#pragma once
+
+#include "hibiscusnotch/relay/caller.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace hibiscusnotch::testing {
+
+class FakeCaller : public relay::Caller
+{
+public:
+  struct Sent
+  {
+    relay::CallId id = 0;
+    relay::OutgoingCall call;
+    relay::CallObserver observer;
+  };
+
+  relay::CallId Start(relay::OutgoingCall aCall,
+                      relay::CallObserver aObserver) override
+  {
+    const relay::CallId id = ++last_;
+    sent.push_back({ id, std::move(aCall), std::move(aObserver) });
+    open_.insert(id);
+    return id;
+  }
+
+  void Cancel(relay::CallId aCall) override
+  {
+    if (open_.erase(aCall) > 0) {
+      cancelled.insert(aCall);
+    }
+  }
+
+  void SetPaused(relay::CallId aCall, bool aPaused) override
+  {
+    paused[aCall] = aPaused;
+  }
+
+  std::size_t Open() const override { return open_.size(); }
+
+  bool IsOpen(std::size_t aIndex) const
+  {
+    return open_.contains(sent.at(aIndex).id);
+  }
+
+  void Head(std::size_t aIndex, const relay::ResponseHead& aHead)
+  {
+    const auto report = sent.at(aIndex).observer.onHead;
+    report(aHead);
+  }
+
+  void Body(std::size_t aIndex, std::string_view aBytes)
+  {
+    if (IsOpen(aIndex)) {
+      const auto report = sent.at(aIndex).observer.onBody;
+      report(aBytes);
+    }
+  }
+
+  void End(std::size_t aIndex, relay::CallEnd aEnd)
+  {
+    if (open_.erase(sent.at(aIndex).id) > 0) {
+      const auto report = sent.at(aIndex).observer.onEnd;
+      report(aEnd, "");
+    }
+  }
+
+  std::vector<Sent> sent;
+  std::set<relay::CallId> cancelled;
+  std::map<relay::CallId, bool> paused;
+
+private:
+  std::set<relay::CallId> open_;
+  relay::CallId last_ = 0;
+};
+
+} // namespace hibiscusnotch::testing
--- /dev/null
+++ b/src/hibiscusnotch/testing/fake_listener.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// @brief A listener that keeps what was answered.
+#pragma once
+
+#include "hibiscusnotch/relay/listener.hpp"
+
+#include <map>
+#include <string>
+
+namespace hibiscusnotch::testing {
+
+/// @brief One answer, as the caller would see it.
+struct SeenAnswer
+{
+  int status = 0;
+  net::Headers headers;
+  std::string body;
+  bool finished = false;
+  bool aborted = false;
+
+  std::string_view Header(std::string_view aName) const
+  {
+    return net::FindHeader(headers, aName);
+  }
+};
+
+class FakeListener : public relay::Listener
+{
+public:
+  void Start(relay::ExchangeId aId,
+             int aStatus,
+             std::string_view /*aReason*/,
+             const net::Headers& aHeaders,
+             relay::Framing /*aFraming*/) override
+  {
+    answers[aId].status = aStatus;
+    answers[aId].headers = aHeaders;
+  }
+  void Write(relay::ExchangeId aId, std::string_view aBytes) override
+  {
+    answers[aId].body.append(aBytes);
+  }
+  void Finish(relay::ExchangeId aId) override { answers[aId].finished = true; }
+  void Abort(relay::ExchangeId aId) override { answers[aId].aborted = true; }
+  std::size_t Pending(relay::ExchangeId aId) const override
+  {
+    const auto row = pending.find(aId);
+    return row == pending.end() ? 0 : row->second;
+  }
+  void SetOptions(const relay::ListenerOptions& /*aOptions*/) override {}
+  void Drain() override {}
+  void StopAccepting() override {}
+  std::size_t OpenExchanges() const override { return 0; }
+  std::size_t OpenConnections() const override { return 0; }
+  uint16_t Port() const override { return 0; }
+
+  std::map<relay::ExchangeId, SeenAnswer> answers;
+  std::map<relay::ExchangeId, std::size_t> pending;
+};
+
+} // namespace hibiscusnotch::testing
--- /dev/null
+++ b/src/hibiscusnotch/testing/fake_store.hpp
@@ -0,0 +1,136 @@
+/// @file
+/// @brief An object store whose replies a test gives.
+#pragma once
+
+#include "hibiscusnotch/store/object_store.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscusnotch::testing {
+
+class FakeStore : public store::ObjectStore
+{
+public:
+  struct ListCall
+  {
+    std::string kind;
+    std::string after;
+    store::Reply<store::ListPage> reply;
+  };
+  struct WatchCall
+  {
+    std::string kind;
+    uint64_t since = 0;
+    core::Duration wait{ 0 };
+    store::Reply<store::ChangeBatch> reply;
+  };
+  struct ObjectCall
+  {
+    std::string verb;
+    std::string kind;
+    store::Object object;
+    store::Reply<store::Object> reply;
+  };
+
+  void List(const std::string& aKind,
+            const std::string& aAfter,
+            store::Reply<store::ListPage> aReply) override
+  {
+    lists.push_back({ aKind, aAfter, std::move(aReply) });
+  }
+  void Watch(const std::string& aKind,
+             uint64_t aSince,
+             core::Duration aWait,
+             store::Reply<store::ChangeBatch> aReply) override
+  {
+    watches.push_back({ aKind, aSince, aWait, std::move(aReply) });
+  }
+  void Get(const std::string& aKind,
+           const std::string& aName,
+           store::Reply<store::Object> aReply) override
+  {
+    store::Object object;
+    object.name = aName;
+    Keep("get", aKind, object, std::move(aReply));
+  }
+  void Create(const std::string& aKind,
+              const store::Object& aObject,
+              store::Reply<store::Object> aReply) override
+  {
+    Keep("create", aKind, aObject, std::move(aReply));
+  }
+  void PutStatus(const std::string& aKind,
+                 const store::Object& aObject,
+                 store::Reply<store::Object> aReply) override
+  {
+    Keep("status", aKind, aObject, std::move(aReply));
+  }
+  void Delete(const std::string& aKind,
+              const std::string& aName,
+              store::Reply<store::Object> aReply) override
+  {
+    store::Object object;
+    object.name = aName;
+    Keep("delete", aKind, object, std::move(aReply));
+  }
+  uint64_t Calls() const override
+  {
+    return lists.size() + watches.size() + objects.size();
+  }
+
+  void AnswerList(std::size_t aIndex,
+                  std::vector<store::Object> aItems,
+                  uint64_t aAsOf,
+                  bool aMore = false)
+  {
+    store::ListPage page;
+    page.items = std::move(aItems);
+    page.asOf = aAsOf;
+    page.more = aMore;
+    const auto reply = lists.at(aIndex).reply;
+    reply(std::move(page), store::StoreFault::None);
+  }
+  void AnswerWatch(std::size_t aIndex,
+                   std::vector<store::Change> aChanges,
+                   uint64_t aAsOf)
+  {
+    store::ChangeBatch batch;
+    batch.changes = std::move(aChanges);
+    batch.asOf = aAsOf;
+    const auto reply = watches.at(aIndex).reply;
+    reply(std::move(batch), store::StoreFault::None);
+  }
+  void FailWatch(std::size_t aIndex, store::StoreFault aFault)
+  {
+    const auto reply = watches.at(aIndex).reply;
+    reply(std::nullopt, aFault);
+  }
+
+  std::vector<ListCall> lists;
+  std::vector<WatchCall> watches;
+  std::vector<ObjectCall> objects;
+
+private:
+  void Keep(const std::string& aVerb,
+            const std::string& aKind,
+            const store::Object& aObject,
+            store::Reply<store::Object> aReply)
+  {
+    objects.push_back({ aVerb, aKind, aObject, std::move(aReply) });
+  }
+};
+
+/// @brief An object with a name and a revision.
+inline store::Object
+MakeObject(const std::string& aName, uint64_t aRevision)
+{
+  store::Object object;
+  object.name = aName;
+  object.revision = aRevision;
+  object.creation = aRevision;
+  return object;
+}
+
+} // namespace hibiscusnotch::testing
