--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,8 @@
 
 lint: build
 	@clang-format --dry-run --Werror $(SOURCES)
-	@git ls-files 'src/*.cpp' | grep -v -E '_fuzzer|_benchmark' | \
+	@scripts/check_platform_names.sh
+	@git ls-files 'src/*.cpp' 'platform/*.cpp' | grep -v -E '_fuzzer|_benchmark' | \
 	  xargs -P 6 -n 4 clang-tidy -p $(BUILD) --quiet \
 	    --extra-arg=-Wno-unknown-warning-option
 
--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -45,7 +45,7 @@
 public:
   virtual ~EntryNode() = default;
   /// @brief Stops being ready, finishes what is open, then calls back.
-  virtual void Drain(std::function<void()> aDone) = 0;
+  virtual void Drain(const std::function<void()>& aDone) = 0;
   virtual bool Ready() const = 0;
 };
 
@@ -53,6 +53,6 @@
 std::unique_ptr<EntryNode>
 MakeEntryNode(boost::asio::io_context& aContext,
               EntryNodeOptions aOptions,
-              EntryNodeParts aParts);
+              const EntryNodeParts& aParts);
 
 } // namespace hibiscusnotch::entry
--- a/include/hibiscusnotch/entry/fleet_sync.hpp
+++ b/include/hibiscusnotch/entry/fleet_sync.hpp
@@ -18,6 +18,9 @@
 {
   std::string instanceName;
   std::string zone;
+  /// @brief The whole system starts for the first time: its instances' rows
+  /// are not in the store yet.
+  bool firstStart = false;
   core::Endpoint peerEndpoint; ///< Where peers reach this instance.
   /// @brief How long the store may hold the watch of the configuration; each
   /// end of it confirms the keys, so it is well below their bound.
--- a/include/hibiscusnotch/relay/caller.hpp
+++ b/include/hibiscusnotch/relay/caller.hpp
@@ -27,6 +27,9 @@
   core::Endpoint to;
   std::string message; ///< The request, as it goes on the wire.
   Duration connectTimeout{ 300'000 };
+  /// @brief After so long without a byte, a second connection finds out
+  /// whether the peer can be reached; zero for never.
+  Duration silence{ 0 };
   bool bodyless = false; ///< A HEAD request: the response has no body.
 };
 
--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -62,6 +62,9 @@
   virtual void SetOptions(const ListenerOptions& aOptions) = 0;
   /// @brief Each connection closes with its next answer, or when it is idle.
   virtual void Drain() = 0;
+  /// @brief While set, each answer closes its connection, so that callers
+  /// find an instance that serves them better.
+  virtual void SetClosing(bool aClosing) = 0;
   virtual void StopAccepting() = 0;
   virtual std::size_t OpenExchanges() const = 0;
   virtual std::size_t OpenConnections() const = 0;
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kDrainStep{ 100'000 };
 // Left of the grace for the end of the process itself.
 constexpr Duration kExitMargin{ 300'000 };
+// Above the time between two confirmations; a balancer needs two seconds more.
+constexpr Duration kLongestUnconfirmed{ 2'600'000 };
 constexpr Duration kGaugeStep{ 2'000'000 };
 
 relay::ListenerOptions
@@ -58,7 +60,7 @@
 public:
   Node(boost::asio::io_context& aContext,
        EntryNodeOptions aOptions,
-       EntryNodeParts aParts)
+       const EntryNodeParts& aParts)
     : options_(std::move(aOptions))
     , timers_(relay::MakeTimers(aContext, relay::BootClock()))
     , caller_(relay::MakeCaller(aContext, *timers_))
@@ -108,7 +110,7 @@
     UpdateGauges();
   }
 
-  void Drain(std::function<void()> aDone) override
+  void Drain(const std::function<void()>& aDone) override
   {
     if (drainStarted_) {
       return;
@@ -118,7 +120,7 @@
                "open=" + std::to_string(router_->Open()));
     callers_->Drain();
     sync_->Leave();
-    AwaitDrained(std::move(aDone));
+    AwaitDrained(aDone);
   }
 
   bool Ready() const override
@@ -126,8 +128,9 @@
     if (drainStarted_ || !fleet_.configuration || !fleet_.upstreamsKnown) {
       return false;
     }
+    // Callers are moved away before their keys cannot be confirmed any more.
     return fleet_.configuration->organisations.empty() ||
-           router_->KeysAreFresh();
+           timers_->Now() - fleet_.configurationConfirmed < kLongestUnconfirmed;
   }
 
 private:
@@ -189,6 +192,7 @@
   void NoteReadiness()
   {
     const bool ready = Ready();
+    callers_->SetClosing(!ready);
     if (ready != lastReady_) {
       lastReady_ = ready;
       log_.Write(EventNumber::Readiness,
@@ -208,7 +212,7 @@
     callers_->SetOptions(options);
   }
 
-  void AwaitDrained(std::function<void()> aDone)
+  void AwaitDrained(const std::function<void()>& aDone)
   {
     const Duration spent = timers_->Now() - *drainStarted_;
     if (spent >= kBalancerDelay) {
@@ -223,8 +227,7 @@
       aDone();
       return;
     }
-    timers_->After(kDrainStep,
-                   [this, aDone] { AwaitDrained(std::move(aDone)); });
+    timers_->After(kDrainStep, [this, aDone] { AwaitDrained(aDone); });
   }
 
   void UpdateGauges()
@@ -266,7 +269,7 @@
 std::unique_ptr<EntryNode>
 MakeEntryNode(boost::asio::io_context& aContext,
               EntryNodeOptions aOptions,
-              EntryNodeParts aParts)
+              const EntryNodeParts& aParts)
 {
   return std::make_unique<Node>(aContext, std::move(aOptions), aParts);
 }
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -59,7 +59,9 @@
                                                       options_.zone };
     Register();
     // Instances that start together find each other's rows in the first list.
-    parts_.timers.After(kGatherInstances, [this] { FollowInstances(); });
+    parts_.timers.After(options_.firstStart ? kGatherInstances
+                                            : Duration::zero(),
+                        [this] { FollowInstances(); });
     Sweep();
   }
 
@@ -68,7 +70,7 @@
     leaving_ = true;
     parts_.direct.Delete(parts_.codec.Kinds().instances,
                          options_.instanceName,
-                         [](std::optional<Object>, StoreFault) {
+                         [](const std::optional<Object>&, StoreFault) {
                            // The row is only a hint; others count one too many.
                          });
   }
@@ -84,7 +86,7 @@
     parts_.log.Write(EventNumber::PeerDead, "peer=" + aPeer);
     parts_.direct.Delete(parts_.codec.Kinds().instances,
                          aPeer,
-                         [](std::optional<Object>, StoreFault) {
+                         [](const std::optional<Object>&, StoreFault) {
                            // Tried again when the peer is next found gone.
                          });
   }
@@ -98,8 +100,8 @@
   void Follow(
     const std::string& aKind,
     Duration aWait,
-    ObjectHandler aOnObject,
-    RemovalHandler aOnRemoved,
+    const ObjectHandler& aOnObject,
+    const RemovalHandler& aOnRemoved,
     ConfirmHandler aOnConfirmed = [](TimePoint) {})
   {
     auto known = std::make_shared<std::set<std::string>>();
@@ -351,7 +353,7 @@
     parts_.direct.Create(
       parts_.codec.Kinds().instances,
       row,
-      [this](std::optional<Object> aObject, StoreFault aFault) {
+      [this](const std::optional<Object>& aObject, StoreFault aFault) {
         const bool there = aObject || aFault == StoreFault::Conflict;
         if (!there && !leaving_) {
           parts_.timers.After(kRegisterAgain, [this] { Register(); });
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -36,13 +36,16 @@
 constexpr Duration kWaitStep{ 40'000 };
 // A waiting request is refused after this part of its objective, or after the
 // longest wait: one step of most temporary lacks (a restart, a cold start).
+constexpr Duration kConfigurationWait{ 900'000 }; // a start takes less
 constexpr int kWaitPart = 4;
 constexpr Duration kLongestWait{ 800'000 };
 // A cut stream looks for another upstream this long: callers leave after a gap
 // of two seconds.
 constexpr Duration kResumeWait{ 1'500'000 };
-constexpr Duration kRetryAfterBusy{ 500'000 };     // about one request's work
-constexpr Duration kRetryAfterStale{ 1'000'000 };  // another instance may serve
+constexpr Duration kRetryAfterBusy{ 500'000 }; // about one request's work
+// An outage of the store takes seconds; callers with little time come sooner.
+constexpr Duration kRetryAfterStale{ 2'000'000 };
+constexpr int kRetryAfterPart = 4; // of the time that the caller has left
 constexpr Duration kRetryAfterElsewhere{ 50'000 }; // any other instance serves
 constexpr Duration kRetryAfterPoison{ 10'000'000 };
 // Sends beyond the executions allowed: refused ones do not count as such.
@@ -122,16 +125,7 @@
         exchange, kUnavailable, Reason::ShuttingDown, kRetryAfterElsewhere);
       return;
     }
-    if (!Admit(exchange)) {
-      return;
-    }
-    const Duration objective = exchange.route.objective;
-    exchange.giveUpWaitingAt =
-      exchange.arrivedAt + std::min(objective / kWaitPart, kLongestWait);
-    exchange.size = routing::FirstSize(exchange.route.models.size());
-    exchange.endTimer =
-      timers_.At(exchange.endBy, [this, aId] { OnTimeUp(aId); });
-    Dispatch(exchange);
+    Begin(exchange);
   }
 
   void OnGone(ExchangeId aId) override
@@ -166,6 +160,22 @@
   }
 
 private:
+  /// Admits a request that has not been sent yet, and sends it.
+  void Begin(Exchange& aExchange)
+  {
+    if (!Admit(aExchange)) {
+      return;
+    }
+    const ExchangeId id = aExchange.id;
+    const Duration objective = aExchange.route.objective;
+    aExchange.giveUpWaitingAt =
+      timers_.Now() + std::min(objective / kWaitPart, kLongestWait);
+    aExchange.size = routing::FirstSize(aExchange.route.models.size());
+    aExchange.endTimer =
+      timers_.At(aExchange.endBy, [this, id] { OnTimeUp(id); });
+    Dispatch(aExchange);
+  }
+
   std::string Describe(const Exchange& aExchange) const
   {
     std::string text = "request=" + aExchange.facts.requestId +
@@ -195,7 +205,7 @@
   {
     const auto& configuration = fleet_.configuration;
     if (!configuration) {
-      Refuse(aExchange, kUnavailable, Reason::NoConfiguration, kRetryAfterBusy);
+      AwaitConfiguration(aExchange);
       return false;
     }
     const routing::Route* route =
@@ -226,12 +236,32 @@
     return true;
   }
 
+  /// An instance that has just started knows its configuration in a moment.
+  void AwaitConfiguration(Exchange& aExchange)
+  {
+    if (timers_.Now() - aExchange.arrivedAt >= kConfigurationWait) {
+      Refuse(aExchange, kUnavailable, Reason::NoConfiguration, kRetryAfterBusy);
+      return;
+    }
+    const ExchangeId id = aExchange.id;
+    aExchange.waitTimer = timers_.After(kWaitStep, [this, id] {
+      const auto found = exchanges_.find(id);
+      if (found != exchanges_.end()) {
+        found->second.waitTimer = 0;
+        Begin(found->second);
+      }
+    });
+  }
+
   bool AdmitKey(Exchange& aExchange)
   {
     const routing::Organisation* organisation =
       fleet_.configuration->OrganisationOf(aExchange.facts.key);
     if (!KeysAreFresh()) {
-      Refuse(aExchange, kUnavailable, Reason::KeysTooOld, kRetryAfterStale);
+      Refuse(aExchange,
+             kUnavailable,
+             Reason::KeysTooOld,
+             StaleRetryAfter(aExchange));
       return false;
     }
     if (!organisation) {
@@ -249,10 +279,20 @@
     if (KeysAreFresh()) {
       Refuse(aExchange, aStatus, aReason, Duration::zero());
     } else {
-      Refuse(aExchange, kUnavailable, Reason::KeysTooOld, kRetryAfterStale);
+      Refuse(aExchange,
+             kUnavailable,
+             Reason::KeysTooOld,
+             StaleRetryAfter(aExchange));
     }
   }
 
+  static Duration StaleRetryAfter(const Exchange& aExchange)
+  {
+    return std::min(kRetryAfterStale,
+                    aExchange.facts.timeLeft.value_or(kRetryAfterStale) /
+                      kRetryAfterPart);
+  }
+
   std::string ServiceFor(const Exchange& aExchange) const
   {
     const auto& shares = aExchange.route.services;
@@ -374,7 +414,7 @@
       GiveUp(aExchange, aReason);
       return;
     }
-    if (reasonWaits(aReason)) {
+    if (MayRefuseAgain(aReason)) {
       aExchange.tried.clear();
     }
     const ExchangeId id = aExchange.id;
@@ -388,7 +428,7 @@
   }
 
   /// True when waiting may help an upstream that refused before.
-  static bool reasonWaits(Reason aReason)
+  static bool MayRefuseAgain(Reason aReason)
   {
     return aReason == Reason::NoUpstream;
   }
@@ -420,6 +460,7 @@
     call.message = dialect_.WriteAttempt(aExchange.request, facts);
     call.bodyless = aExchange.request.method == "HEAD";
     call.connectTimeout = ConnectTimeout(aExchange);
+    call.silence = SilenceLimit(aExchange);
     if (aExchange.sends == 0) {
       allowances_[attempt.service].CountRequest(now);
     }
@@ -455,6 +496,16 @@
     return std::clamp(aExchange.route.objective / 8, kShortest, kLongest);
   }
 
+  /// How long an upstream may say nothing before it is probed.
+  static Duration SilenceLimit(const Exchange& aExchange)
+  {
+    constexpr Duration kShortest{ 150'000 };
+    constexpr Duration kLongest{
+      500'000
+    }; // a step of a loaded engine and more
+    return std::clamp(aExchange.route.objective / 2, kShortest, kLongest);
+  }
+
   void OnHead(ExchangeId aId, const relay::ResponseHead& aHead)
   {
     const auto found = exchanges_.find(aId);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -430,8 +430,39 @@
   Fixture fixture;
   fixture.fleet.configuration.reset();
   const auto id = fixture.Request("safe");
+  CHECK(fixture.Answer(id).status == 0);
+  fixture.timers.Advance(kSecond);
   CHECK(fixture.Answer(id).status == 503);
   CHECK(Has(fixture.Answer(id).body, "no_configuration"));
+  CHECK(Has(fixture.Answer(id).body, "not_run"));
+}
+
+TEST_CASE("a request that comes while an instance starts is served a moment on")
+{
+  // Pattern: all processes are killed and callers come back at once.
+  Fixture fixture;
+  fixture.fleet.configuration.reset();
+  const auto id = fixture.Request("unsafe");
+  fixture.timers.Advance(kSecond / 2);
+  CHECK(fixture.caller.sent.empty());
+  fixture.Apply();
+  fixture.timers.Advance(kSecond / 10);
+  REQUIRE(fixture.caller.sent.size() == 1);
+  fixture.Reply(0, 200);
+  CHECK(fixture.Answer(id).status == 200);
+}
+
+TEST_CASE("callers with little time left are told to come back sooner")
+{
+  Fixture fixture;
+  fixture.timers.Advance(10 * kSecond);
+  const auto hurried = fixture.Request("unsafe", "good", "1500");
+  const auto patient = fixture.Request("stream", "good", "20000");
+  const auto after = [&fixture](relay::ExchangeId aId) {
+    return std::stoll(std::string(fixture.Answer(aId).Header("retry")));
+  };
+  CHECK(after(hurried) <= 500'000); // a third of what is left, at most
+  CHECK(after(patient) > after(hurried));
 }
 
 TEST_CASE("the time that is left is what the caller has left")
--- a/src/hibiscusnotch/relay/caller.cpp
+++ b/src/hibiscusnotch/relay/caller.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Many round trips within a region.
+constexpr Duration kProbeTimeout{ 200'000 };
+
 struct CallRow
 {
   explicit CallRow(boost::asio::io_context& aContext)
@@ -22,6 +25,9 @@
   std::unique_ptr<ResponseReader> reader;
   CallObserver observer;
   TimerId connectTimer = 0;
+  TimerId silenceTimer = 0;
+  Duration silence{ 0 };
+  core::Endpoint peer;
   bool connected = false;
   bool headReported = false;
   bool paused = false;
@@ -44,6 +50,8 @@
     row.out = std::move(aCall.message);
     row.reader = MakeResponseReader(aCall.bodyless);
     row.observer = std::move(aObserver);
+    row.silence = aCall.silence;
+    row.peer = aCall.to;
     row.connectTimer = timers_.After(aCall.connectTimeout, [this, id] {
       End(id, CallEnd::NotSent, "connect timed out");
     });
@@ -72,6 +80,7 @@
     const auto row = rows_.find(aCall);
     if (row != rows_.end()) {
       timers_.Cancel(row->second.connectTimer);
+      timers_.Cancel(row->second.silenceTimer);
       rows_.erase(row);
     }
   }
@@ -107,6 +116,7 @@
       return;
     }
     row->connected = true;
+    AwaitSilence(aCall, *row, row->silence);
     Write(aCall);
     if (CallRow* still = Find(aCall)) {
       AwaitRead(aCall, *still);
@@ -162,6 +172,7 @@
   {
     boost::system::error_code error;
     ReadSome(aRow.socket, aRow.in, error);
+    AwaitSilence(aCall, aRow, aRow.silence);
     ReadState state = aRow.reader->Read(aRow.in);
     if (error == boost::asio::error::eof && state == ReadState::NeedMore) {
       state = aRow.reader->ReadEnd();
@@ -181,6 +192,45 @@
     }
   }
 
+  /// Starts the wait for a byte anew; each probe waits longer than the last.
+  void AwaitSilence(CallId aCall, CallRow& aRow, Duration aWait)
+  {
+    timers_.Cancel(std::exchange(aRow.silenceTimer, 0));
+    if (aRow.silence == Duration::zero()) {
+      return;
+    }
+    aRow.silenceTimer = timers_.After(aWait, [this, aCall, aWait] {
+      if (CallRow* row = Find(aCall)) {
+        row->silenceTimer = 0;
+        if (!row->paused) {
+          Probe(aCall, row->peer, aWait);
+        }
+      }
+    });
+  }
+
+  /// Opens and closes a connection to the peer of a silent call.
+  void Probe(CallId aCall, const core::Endpoint& aPeer, Duration aWait)
+  {
+    OutgoingCall probe;
+    probe.to = aPeer;
+    probe.connectTimeout = kProbeTimeout;
+    const CallId id = Start(
+      std::move(probe),
+      { [](const ResponseHead&) {},
+        [](std::string_view) {},
+        [this, aCall](CallEnd aEnd, std::string_view aWhy) {
+          if (aEnd == CallEnd::NotSent && Find(aCall)) {
+            End(aCall, CallEnd::Broken, "silent, and " + std::string(aWhy));
+          }
+        } });
+    // A probe that connects has said all that it can.
+    timers_.After(kProbeTimeout, [this, id] { Cancel(id); });
+    if (CallRow* row = Find(aCall)) {
+      AwaitSilence(aCall, *row, aWait * 2);
+    }
+  }
+
   /// Reports head and body; false when the observer cancelled the call.
   bool Report(CallId aCall, CallRow& aRow)
   {
@@ -208,6 +258,7 @@
       return;
     }
     timers_.Cancel(row.mapped().connectTimer);
+    timers_.Cancel(row.mapped().silenceTimer);
     boost::system::error_code ignored;
     row.mapped().socket.close(ignored);
     const std::string why(aWhy);
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -75,7 +75,9 @@
                         "0\r\n\r\n") == 400);
   CHECK(FaultOf(start + "Transfer-Encoding: xchunked\r\n\r\n") == 400);
   CHECK(FaultOf(start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n") == 400);
-  CHECK(FaultOf(std::string("GET / HTTP/1.1\r\nHost: h\0\r\n\r\n", 30)) == 400);
+  std::string zero = kGet;
+  zero.insert(zero.size() - 4, 1, char{ 0 });
+  CHECK(FaultOf(zero) == 400);
 }
 
 TEST_CASE("limits have their own codes")
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -102,7 +102,7 @@
     }
     row->started = true;
     row->chunked = aFraming == Framing::Chunked;
-    row->closeAfter = row->closeAfter || draining_;
+    row->closeAfter = row->closeAfter || draining_ || closing_;
     std::string& out = row->out;
     out += "HTTP/1.1 " + std::to_string(aStatus) + ' ';
     out.append(aReason).append("\r\n");
@@ -193,6 +193,8 @@
     }
   }
 
+  void SetClosing(bool aClosing) override { closing_ = aClosing; }
+
   void StopAccepting() override
   {
     boost::system::error_code ignored;
@@ -450,6 +452,7 @@
   ConnectionId lastConnection_ = 0;
   std::size_t serving_ = 0;
   bool draining_ = false;
+  bool closing_ = false;
 };
 
 } // namespace
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -270,3 +270,45 @@
   CHECK(fixture.RunUntil([&] { return fixture.gone.size() == 1; }));
   CHECK_FALSE(reported);
 }
+
+TEST_CASE("a silent call goes on while its peer takes connections")
+{
+  Fixture fixture;
+  std::optional<CallEnd> end;
+  OutgoingCall call;
+  call.to = { "127.0.0.1", fixture.listener->Port() };
+  call.message = kGet;
+  call.silence = core::Duration{ 30'000 };
+  fixture.caller->Start(
+    call,
+    { [](const ResponseHead&) {},
+      [](std::string_view) {},
+      [&](CallEnd aEnd, std::string_view) { end = aEnd; } });
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+  fixture.context.run_for(std::chrono::milliseconds(300));
+  fixture.context.restart();
+  CHECK_FALSE(end);
+  fixture.Answer(fixture.requests[0].first, "late");
+  REQUIRE(fixture.RunUntil([&] { return end.has_value(); }));
+  CHECK(end == CallEnd::Complete);
+}
+
+TEST_CASE("a silent call whose peer takes no connection any more is broken")
+{
+  // Pattern: a zone is cut off while streams run in it.
+  Fixture fixture;
+  std::optional<CallEnd> end;
+  OutgoingCall call;
+  call.to = { "127.0.0.1", fixture.listener->Port() };
+  call.message = kGet;
+  call.silence = core::Duration{ 30'000 };
+  fixture.caller->Start(
+    call,
+    { [](const ResponseHead&) {},
+      [](std::string_view) {},
+      [&](CallEnd aEnd, std::string_view) { end = aEnd; } });
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+  fixture.listener->StopAccepting();
+  REQUIRE(fixture.RunUntil([&] { return end.has_value(); }));
+  CHECK(end == CallEnd::Broken);
+}
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -3,6 +3,7 @@
 #include "hibiscusnotch/core/rendezvous.hpp"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 namespace hibiscusnotch::routing {
@@ -20,6 +21,10 @@
 constexpr double kFewestOutcomes = 4;     // before a failure share counts
 constexpr std::size_t kCandidates = 2;    // homes of one shared prompt part
 
+constexpr double kSuspectZoneTokens = 5e4; // the zone may be cut off
+constexpr std::size_t kFewestSuspects = 2; // of a zone, to suspect all of it
+constexpr double kSuspectZoneShare = 0.3;  // of its upstreams
+
 struct Candidate
 {
   UpstreamId id;
@@ -56,12 +61,39 @@
   return *middle;
 }
 
+/// Zones in which so many upstreams do not answer that the rest is doubtful.
+std::set<std::string_view>
+SuspectZones(std::span<const Candidate> aCandidates, TimePoint aNow)
+{
+  struct ZoneCount
+  {
+    std::size_t suspects = 0;
+    std::size_t all = 0;
+  };
+  std::map<std::string_view, ZoneCount> zones;
+  for (const Candidate& candidate : aCandidates) {
+    ZoneCount& count = zones[candidate.row->entry.zone];
+    ++count.all;
+    count.suspects += aNow < candidate.row->suspectUntil ? 1 : 0;
+  }
+  std::set<std::string_view> suspects;
+  for (const auto& [zone, count] : zones) {
+    if (count.suspects >= std::min(kFewestSuspects, count.all) &&
+        static_cast<double>(count.suspects) >=
+          kSuspectZoneShare * static_cast<double>(count.all)) {
+      suspects.insert(zone);
+    }
+  }
+  return suspects;
+}
+
 double
 CostOf(const Candidate& aCandidate,
        const PlacementView& aView,
        const PlacementRequest& aRequest,
        bool aCached,
-       double aUsualFailures)
+       double aUsualFailures,
+       const std::set<std::string_view>& aSuspectZones)
 {
   const Upstream& row = *aCandidate.row;
   const double load = UpstreamTable::Load(row, aView.now);
@@ -82,6 +114,9 @@
   if (aView.now < row.suspectUntil) {
     cost += kSuspectTokens;
   }
+  if (aSuspectZones.contains(row.entry.zone)) {
+    cost += kSuspectZoneTokens;
+  }
   if (row.lapsed) {
     cost += kLapsedTokens;
   }
@@ -173,12 +208,13 @@
     homes = CachedHomes(candidates, aView.homeZone);
   }
   const double usualFailures = UsualFailureShare(candidates);
+  const auto suspectZones = SuspectZones(candidates, aView.now);
   const Candidate* best = nullptr;
   double bestCost = 0;
   for (const Candidate& candidate : candidates) {
     const bool cached = std::ranges::find(homes, candidate.id) != homes.end();
     const double cost =
-      CostOf(candidate, aView, aRequest, cached, usualFailures);
+      CostOf(candidate, aView, aRequest, cached, usualFailures, suspectZones);
     // Equal costs are split by the key's weight, so instances do not herd.
     if (!best || cost < bestCost ||
         (cost == bestCost && candidate.weight > best->weight)) {
--- a/src/hibiscusnotch/routing/placement_test.cpp
+++ b/src/hibiscusnotch/routing/placement_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <limits>
 #include <map>
+#include <vector>
 
 using namespace hibiscusnotch::routing;
 using hibiscusnotch::core::Reason;
@@ -110,9 +111,9 @@
       fixture.table.CountFirstOutput(*chosen, 5500);
     }
   }
-  for (const auto& [key, upstreams] : used) {
-    CAPTURE(key);
-    CHECK(upstreams.size() <= 2);
+  for (const auto& row : used) {
+    CAPTURE(row.first);
+    CHECK(row.second.size() <= 2);
   }
 }
 
@@ -200,3 +201,24 @@
   request.exceptVersion = "v2";
   CHECK(fixture.Choose(request) == former);
 }
+
+TEST_CASE("when a zone's upstreams do not answer, the rest of it is avoided")
+{
+  // Pattern: a zone is cut off; each of its upstreams costs a time-out.
+  Fixture fixture;
+  std::vector<UpstreamId> east;
+  std::vector<UpstreamId> west;
+  for (int row = 0; row < 4; ++row) {
+    east.push_back(fixture.Add("e" + std::to_string(row), "east"));
+    west.push_back(fixture.Add("w" + std::to_string(row), "west"));
+  }
+  fixture.table.CountUnreachable(east[0], Duration::zero(), kNow);
+  // One may be down by itself.
+  const auto first = fixture.Choose({});
+  REQUIRE(first);
+  CHECK(fixture.table.Find(*first)->entry.zone == "east");
+  fixture.table.CountUnreachable(east[1], Duration::zero(), kNow);
+  const auto second = fixture.Choose({});
+  REQUIRE(second);
+  CHECK(fixture.table.Find(*second)->entry.zone == "west");
+}
--- a/src/hibiscusnotch/testing/fake_listener.hpp
+++ b/src/hibiscusnotch/testing/fake_listener.hpp
@@ -49,6 +49,7 @@
   }
   void SetOptions(const relay::ListenerOptions& /*aOptions*/) override {}
   void Drain() override {}
+  void SetClosing(bool /*aClosing*/) override {}
   void StopAccepting() override {}
   std::size_t OpenExchanges() const override { return 0; }
   std::size_t OpenConnections() const override { return 0; }
