--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -55,6 +55,9 @@
   double pendingTokens = 0; ///< Own prompts sent and not yet answered.
   double othersLoad = 0;    ///< Other instances' requests, last reported.
   TimePoint othersLoadAt{};
+  uint32_t peerRequests = 0; ///< Of this zone's other instances, as told.
+  double peerPendingTokens = 0;
+  TimePoint peersAt{};
   double failureShare = 0;           ///< Exponentially weighted, 0 to 1.
   double outcomes = 0;               ///< How many outcomes that share rests on.
   std::deque<TimePoint> recentSends; ///< Within the last second, while cold.
@@ -89,12 +92,19 @@
   void CountFirstOutput(UpstreamId aId, double aPromptTokens);
   void CountEnd(UpstreamId aId);
   void CountLoad(UpstreamId aId, const ReportedLoad& aLoad, TimePoint aNow);
+  /// @brief What the zone's other instances have sent it.
+  void CountPeers(UpstreamId aId,
+                  uint32_t aRequests,
+                  double aPendingTokens,
+                  TimePoint aNow);
   /// @brief An answer of the upstream itself, good or a failure.
   void CountOutcome(UpstreamId aId, bool aGood);
   /// @brief The upstream did not answer on the network.
   void CountUnreachable(UpstreamId aId, Duration aColdStart, TimePoint aNow);
   void CountReachable(UpstreamId aId);
 
+  /// @brief Prompt tokens that wait to be read, own and the peers'.
+  static double PendingTokens(const Upstream& aUpstream, TimePoint aNow);
   /// @brief Expected number of requests at the upstream, all instances'.
   static double Load(const Upstream& aUpstream, TimePoint aNow);
 
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kBalancerDelay{ 2'800'000 };
 constexpr Duration kDrainStep{ 100'000 };
 // Left of the grace for the end of the process itself.
-constexpr Duration kExitMargin{ 300'000 };
+constexpr Duration kExitMargin{ 700'000 };
 // Above the time between two confirmations; a balancer needs two seconds more.
 constexpr Duration kLongestUnconfirmed{ 2'600'000 };
 constexpr Duration kGaugeStep{ 2'000'000 };
@@ -44,6 +44,7 @@
   GossipOptions options;
   options.instanceName = aOptions.instanceName;
   options.endpoint = aOptions.peerEndpoint;
+  options.zone = aOptions.router.zone;
   return options;
 }
 
@@ -216,7 +217,8 @@
   {
     const Duration spent = timers_->Now() - *drainStarted_;
     if (spent >= kBalancerDelay) {
-      callers_->StopAccepting();
+      // Whoever still connects is refused, which sends it elsewhere at once; a
+      // closed port would look like a failure.
       router_->RefuseNew();
     }
     const bool idle = router_->Open() == 0 && spent >= kBalancerDelay;
--- a/src/hibiscusnotch/entry/gossip.cpp
+++ b/src/hibiscusnotch/entry/gossip.cpp
@@ -56,9 +56,54 @@
     socket_.non_blocking(true);
     Await();
     Step();
+    LoadStep();
   }
 
 private:
+  void LoadStep()
+  {
+    const TimePoint now = timers_.Now();
+    const std::vector<std::string> order = HubOrder(fleet_, options_.zone);
+    const WorkTable own = OwnWork(fleet_);
+    if (order.size() > 1) {
+      if (now - sumsAt_ > options_.hubSilence) {
+        ++hubRank_; // the hub is gone, cut off, or not there yet
+        sumsAt_ = now;
+      }
+      const std::string& hub = order[hubRank_ % order.size()];
+      if (hub == options_.instanceName) {
+        hub_.Take(options_.instanceName, own, now);
+        ApplyOthersWork(
+          hub_.SumWithout(options_.instanceName, now), fleet_, now);
+        sumsAt_ = now;
+      } else {
+        SendTo(fleet_.instances[hub].endpoint,
+               WriteLoadMessage(
+                 { LoadMessageKind::Report, options_.instanceName, own }));
+      }
+    }
+    timers_.After(options_.loadPeriod, [this] { LoadStep(); });
+  }
+
+  void OnLoad(const LoadMessage& aMessage, const udp::endpoint& aSender)
+  {
+    const TimePoint now = timers_.Now();
+    if (aMessage.kind == LoadMessageKind::Sums) {
+      sumsAt_ = now;
+      ApplyOthersWork(aMessage.work, fleet_, now);
+      return;
+    }
+    hub_.Take(aMessage.sender, aMessage.work, now);
+    hub_.Take(options_.instanceName, OwnWork(fleet_), now);
+    const std::string sums =
+      WriteLoadMessage({ LoadMessageKind::Sums,
+                         options_.instanceName,
+                         hub_.SumWithout(aMessage.sender, now) });
+    boost::system::error_code error;
+    // A lost sum is followed by the next one.
+    socket_.send_to(boost::asio::buffer(sums), aSender, 0, error);
+  }
+
   void Step()
   {
     if (fleet_.rollouts.AnyOpen() || fleet_.quarantine.AnyHeld()) {
@@ -108,6 +153,10 @@
       if (error) {
         return;
       }
+      if (const auto load = ReadLoadMessage({ bytes.data(), size })) {
+        OnLoad(*load, sender);
+        continue;
+      }
       std::string reason;
       if (!ReadGossip({ bytes.data(), size }, fleet_, reason)) {
         log_.Write(core::EventNumber::PeerMessageUnreadable,
@@ -122,10 +171,49 @@
   FleetState& fleet_;
   EventLog& log_;
   udp::socket socket_;
+  LoadHub hub_;
+  std::size_t hubRank_ = 0;
+  TimePoint sumsAt_{};
 };
 
 } // namespace
 
+std::string
+WriteLoadMessage(const LoadMessage& aMessage)
+{
+  json rows = json::array();
+  for (const auto& [upstream, work] : aMessage.work) {
+    rows.push_back({ upstream, work.requests, work.promptTokens });
+  }
+  std::string bytes;
+  json::to_cbor(
+    json::array({ static_cast<uint8_t>(aMessage.kind), aMessage.sender, rows }),
+    bytes);
+  return bytes;
+}
+
+std::optional<LoadMessage>
+ReadLoadMessage(std::string_view aBytes)
+{
+  try {
+    const json message = json::from_cbor(aBytes);
+    if (!message.at(0).is_number_unsigned()) {
+      return std::nullopt; // evidence starts with a name
+    }
+    LoadMessage read;
+    read.kind = message.at(0).get<uint8_t>() == 1 ? LoadMessageKind::Report
+                                                  : LoadMessageKind::Sums;
+    read.sender = message.at(1).get<std::string>();
+    for (const json& row : message.at(2)) {
+      read.work[row.at(0).get<uint32_t>()] = { row.at(1).get<uint32_t>(),
+                                               row.at(2).get<uint32_t>() };
+    }
+    return read;
+  } catch (const json::exception&) {
+    return std::nullopt; // the reader of evidence reports it
+  }
+}
+
 std::string
 WriteGossip(const std::string& aInstance, FleetState& aFleet, TimePoint aNow)
 {
--- /dev/null
+++ b/src/hibiscusnotch/entry/load_exchange_test.cpp
@@ -0,0 +1,116 @@
+#include "hibiscusnotch/entry/load_exchange.hpp"
+
+#include "hibiscusnotch/entry/gossip.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace hibiscusnotch::entry;
+using hibiscusnotch::routing::UpstreamEntry;
+using hibiscusnotch::routing::UpstreamTable;
+
+namespace {
+
+const TimePoint kNow{ Duration{ 100'000'000 } };
+
+UpstreamEntry
+MakeEntry(const std::string& aName)
+{
+  UpstreamEntry entry;
+  entry.name = aName;
+  entry.service = "engine";
+  return entry;
+}
+
+} // namespace
+
+TEST_CASE("an instance learns what the others sent, and not its own part")
+{
+  LoadHub hub;
+  hub.Take("a", { { 1, { 2, 500 } } }, kNow);
+  hub.Take("b", { { 1, { 3, 100 } }, { 2, { 1, 0 } } }, kNow);
+  const WorkTable forA = hub.SumWithout("a", kNow);
+  CHECK(forA.at(1).requests == 3);
+  CHECK(forA.at(1).promptTokens == 100);
+  const WorkTable forC = hub.SumWithout("c", kNow);
+  CHECK(forC.at(1).requests == 5);
+  CHECK(forC.at(2).requests == 1);
+}
+
+TEST_CASE("a report is replaced by the next one and forgotten when it is old")
+{
+  LoadHub hub;
+  hub.Take("a", { { 1, { 9, 0 } } }, kNow);
+  hub.Take("a", { { 1, { 1, 0 } } }, kNow);
+  CHECK(hub.SumWithout("b", kNow).at(1).requests == 1);
+  CHECK(hub.SumWithout("b", kNow + LoadHub::kReportAge * 2).empty());
+}
+
+TEST_CASE("sums guide placement until they are old")
+{
+  // Pattern: many instances, each of which sees little of an engine's load.
+  FleetState fleet;
+  const auto id = fleet.upstreams.Apply(MakeEntry("u"), kNow);
+  fleet.upstreams.CountSend(id, 1000, kNow);
+  CHECK(OwnWork(fleet).at(UpstreamHash("u")).requests == 1);
+  ApplyOthersWork({ { UpstreamHash("u"), { 30, 9000 } } }, fleet, kNow);
+  const auto& row = *fleet.upstreams.Find(id);
+  CHECK(UpstreamTable::Load(row, kNow) == doctest::Approx(31));
+  CHECK(UpstreamTable::PendingTokens(row, kNow) == doctest::Approx(10000));
+  const TimePoint later = kNow + Duration{ 5'000'000 };
+  CHECK(UpstreamTable::Load(row, later) == doctest::Approx(1));
+  // An upstream that the sums do not name has no work of the others.
+  ApplyOthersWork({}, fleet, kNow);
+  CHECK(UpstreamTable::Load(*fleet.upstreams.Find(id), kNow) ==
+        doctest::Approx(1));
+}
+
+TEST_CASE("load messages come back as they were, other bytes are no message")
+{
+  const LoadMessage message{ LoadMessageKind::Sums,
+                             "hub",
+                             { { 7, { 2, 300 } } } };
+  const std::string bytes = WriteLoadMessage(message);
+  const auto read = ReadLoadMessage(bytes);
+  REQUIRE(read);
+  CHECK(read->kind == LoadMessageKind::Sums);
+  CHECK(read->sender == "hub");
+  CHECK(read->work.at(7).promptTokens == 300);
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+    CHECK_FALSE(ReadLoadMessage(bytes.substr(0, cut)));
+  }
+  FleetState fleet;
+  CHECK_FALSE(ReadLoadMessage(WriteGossip("peer", fleet, kNow)));
+  std::string reason;
+  CHECK_FALSE(ReadGossip(bytes, fleet, reason));
+}
+
+TEST_CASE("a report for a zone of 75 instances fits into the control budget")
+{
+  WorkTable work;
+  for (uint32_t upstream = 0; upstream < 120; ++upstream) {
+    work[upstream * 35'000'000U] = { 3, 12'000 };
+  }
+  const std::string bytes =
+    WriteLoadMessage({ LoadMessageKind::Sums, "front-macon-100", work });
+  constexpr double kPeriodsPerSecond = 5;
+  constexpr double kBudget = 3000; // bytes a second for control, a node
+  // An upstream's zone of the two-year size has 120 of 600 upstreams, of which
+  // one instance works at a few; the sums name them all.
+  const std::string report = WriteLoadMessage(
+    { LoadMessageKind::Report, "front-macon-100", { { 1, { 1, 9000 } } } });
+  CHECK(report.size() * kPeriodsPerSecond < kBudget / 4);
+  MESSAGE("sums of 120 upstreams: ", bytes.size(), " bytes");
+}
+
+TEST_CASE("all instances of a zone name the same hub")
+{
+  FleetState fleet;
+  for (int row = 0; row < 9; ++row) {
+    fleet.instances["i" + std::to_string(row)] = { {},
+                                                   row % 3 == 0 ? "west"
+                                                                : "east" };
+  }
+  CHECK(HubOrder(fleet, "east").size() == 6);
+  CHECK(HubOrder(fleet, "west").size() == 3);
+  CHECK(HubOrder(fleet, "none").empty());
+}
--- a/src/hibiscusnotch/entry/mirror_role.cpp
+++ b/src/hibiscusnotch/entry/mirror_role.cpp
@@ -1,6 +1,6 @@
 #include "hibiscusnotch/entry/mirror_role.hpp"
 
-#include "hibiscusnotch/core/rendezvous.hpp"
+#include "hibiscusnotch/entry/load_exchange.hpp"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t kMirrors = 2;    // one may fail without extra calls
+constexpr std::size_t kMirrors = 2;    // the second one stands by
 constexpr std::size_t kDirectUpTo = 3; // instances of a zone
 
 std::size_t
@@ -36,25 +36,12 @@
   if (!ZoneHasMirrors(aFleet, aZone)) {
     return {};
   }
-  std::vector<std::pair<uint64_t, store::MirrorPeer>> ranked;
-  for (const auto& [name, row] : aFleet.instances) {
-    if (row.zone == aZone) {
-      ranked.push_back({ core::StableHash(name), { name, row.endpoint } });
-    }
-  }
-  std::ranges::sort(ranked, [](const auto& aLeft, const auto& aRight) {
-    return aLeft.first > aRight.first;
-  });
   std::vector<store::MirrorPeer> peers;
-  for (std::size_t rank = 0; rank < kMirrors; ++rank) {
-    if (ranked[rank].second.name == aSelf) {
-      return {};
+  for (const std::string& name : HubOrder(aFleet, aZone)) {
+    if (name == aSelf || peers.size() == kMirrors) {
+      break; // only higher ranks are read, so that there is no circle
     }
-    peers.push_back(ranked[rank].second);
-  }
-  // Readers are spread over the mirrors.
-  if (core::StableHash(aSelf) % kMirrors != 0) {
-    std::ranges::reverse(peers);
+    peers.push_back({ name, aFleet.instances.at(name).endpoint });
   }
   return peers;
 }
--- a/src/hibiscusnotch/relay/caller.cpp
+++ b/src/hibiscusnotch/relay/caller.cpp
@@ -2,6 +2,7 @@
 
 #include "socket_io.hpp"
 
+#include <map>
 #include <unordered_map>
 
 namespace hibiscusnotch::relay {
@@ -11,6 +12,8 @@
 // Many round trips within a region.
 constexpr Duration kProbeTimeout{ 200'000 };
 
+constexpr std::size_t kMostPeers = 4096; // far more than upstreams
+
 struct CallRow
 {
   explicit CallRow(boost::asio::io_context& aContext)
@@ -116,6 +119,7 @@
       return;
     }
     row->connected = true;
+    NoteHeard(row->peer);
     AwaitSilence(aCall, *row, row->silence);
     Write(aCall);
     if (CallRow* still = Find(aCall)) {
@@ -172,6 +176,9 @@
   {
     boost::system::error_code error;
     ReadSome(aRow.socket, aRow.in, error);
+    if (!error) {
+      NoteHeard(aRow.peer);
+    }
     AwaitSilence(aCall, aRow, aRow.silence);
     ReadState state = aRow.reader->Read(aRow.in);
     if (error == boost::asio::error::eof && state == ReadState::NeedMore) {
@@ -202,13 +209,30 @@
     aRow.silenceTimer = timers_.After(aWait, [this, aCall, aWait] {
       if (CallRow* row = Find(aCall)) {
         row->silenceTimer = 0;
-        if (!row->paused) {
+        if (row->paused || HeardWithin(row->peer, row->silence)) {
+          AwaitSilence(aCall, *row, row->silence);
+        } else {
           Probe(aCall, row->peer, aWait);
         }
       }
     });
   }
 
+  /// True when any call to the peer had a byte, or a connection, this lately.
+  bool HeardWithin(const core::Endpoint& aPeer, Duration aTime) const
+  {
+    const auto heard = heardAt_.find({ aPeer.address, aPeer.port });
+    return heard != heardAt_.end() && timers_.Now() - heard->second < aTime;
+  }
+
+  void NoteHeard(const core::Endpoint& aPeer)
+  {
+    if (heardAt_.size() >= kMostPeers) {
+      heardAt_.clear(); // addresses change over time; a probe more is no harm
+    }
+    heardAt_[{ aPeer.address, aPeer.port }] = timers_.Now();
+  }
+
   /// Opens and closes a connection to the peer of a silent call.
   void Probe(CallId aCall, const core::Endpoint& aPeer, Duration aWait)
   {
@@ -268,6 +292,7 @@
   boost::asio::io_context& context_;
   Timers& timers_;
   std::unordered_map<CallId, CallRow> rows_;
+  std::map<std::pair<std::string, uint16_t>, TimePoint> heardAt_;
   CallId last_ = 0;
 };
 
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -293,6 +293,33 @@
   CHECK(end == CallEnd::Complete);
 }
 
+TEST_CASE("silent calls to a peer that is heard on another call open nothing")
+{
+  // Pattern: an overloaded engine keeps many requests waiting.
+  Fixture fixture;
+  for (int call = 0; call < 20; ++call) {
+    OutgoingCall waiting;
+    waiting.to = { "127.0.0.1", fixture.listener->Port() };
+    waiting.message = kGet;
+    waiting.silence = core::Duration{ 60'000 };
+    fixture.caller->Start(waiting,
+                          { [](const ResponseHead&) {},
+                            [](std::string_view) {},
+                            [](CallEnd, std::string_view) {} });
+  }
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 20; }));
+  const ExchangeId speaking = fixture.requests[0].first;
+  fixture.listener->Start(speaking, 200, "OK", {}, Framing::Chunked);
+  std::size_t most = 0;
+  for (int step = 0; step < 30; ++step) {
+    fixture.listener->Write(speaking, "x");
+    fixture.context.run_for(std::chrono::milliseconds(10));
+    fixture.context.restart();
+    most = std::max(most, fixture.listener->OpenConnections());
+  }
+  CHECK(most == 20);
+}
+
 TEST_CASE("a silent call whose peer takes no connection any more is broken")
 {
   // Pattern: a zone is cut off while streams run in it.
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -19,12 +19,17 @@
 constexpr double kLapsedTokens = 1e6;     // its entry may be stale
 constexpr double kFailingMargin = 0.3;    // share above the usual one
 constexpr double kFewestOutcomes = 4;     // before a failure share counts
-constexpr std::size_t kCandidates = 2;    // homes of one shared prompt part
+constexpr std::size_t kCandidates = 1;    // homes of one shared prompt part
 
 constexpr double kSuspectZoneTokens = 5e4; // the zone may be cut off
 constexpr std::size_t kFewestSuspects = 2; // of a zone, to suspect all of it
 constexpr double kSuspectZoneShare = 0.3;  // of its upstreams
 
+// Other zones' instances do not report here; their upstreams are taken to be
+// loaded at least by this part of the own zone's mean.
+constexpr double kAssumedLoadPart = 0.8;
+constexpr double kFewestForMean = 3; // one's load says nothing on the others'
+
 struct Candidate
 {
   UpstreamId id;
@@ -87,21 +92,56 @@
   return suspects;
 }
 
+/// Work that an upstream is expected to have.
+struct Expected
+{
+  double load = 0;
+  double pendingTokens = 0;
+};
+
+Expected
+MeanOfZone(std::span<const Candidate> aCandidates,
+           std::string_view aZone,
+           TimePoint aNow)
+{
+  Expected mean;
+  double count = 0;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.row->entry.zone == aZone) {
+      mean.load += UpstreamTable::Load(*candidate.row, aNow);
+      mean.pendingTokens += UpstreamTable::PendingTokens(*candidate.row, aNow);
+      count += 1;
+    }
+  }
+  if (count < kFewestForMean) {
+    return {};
+  }
+  mean.load /= count;
+  mean.pendingTokens /= count;
+  return mean;
+}
+
 double
 CostOf(const Candidate& aCandidate,
        const PlacementView& aView,
        const PlacementRequest& aRequest,
        bool aCached,
        double aUsualFailures,
-       const std::set<std::string_view>& aSuspectZones)
+       const std::set<std::string_view>& aSuspectZones,
+       const Expected& aLocalMean)
 {
   const Upstream& row = *aCandidate.row;
-  const double load = UpstreamTable::Load(row, aView.now);
+  double load = UpstreamTable::Load(row, aView.now);
+  double pending = UpstreamTable::PendingTokens(row, aView.now);
+  if (row.entry.zone != aView.homeZone) {
+    load = std::max(load, kAssumedLoadPart * aLocalMean.load);
+    pending = std::max(pending, kAssumedLoadPart * aLocalMean.pendingTokens);
+  }
   double cost = 0;
   if (aRequest.model.empty()) {
     cost = load * kTokensPerPlainRequest;
   } else {
-    cost = row.pendingTokens + load * kTokensPerRunning +
+    cost = pending + load * kTokensPerRunning +
            (aCached ? 0 : aRequest.sharedTokens);
     const double free = row.entry.slots - load;
     if (free < 1) {
@@ -209,12 +249,18 @@
   }
   const double usualFailures = UsualFailureShare(candidates);
   const auto suspectZones = SuspectZones(candidates, aView.now);
+  const Expected localMean = MeanOfZone(candidates, aView.homeZone, aView.now);
   const Candidate* best = nullptr;
   double bestCost = 0;
   for (const Candidate& candidate : candidates) {
     const bool cached = std::ranges::find(homes, candidate.id) != homes.end();
-    const double cost =
-      CostOf(candidate, aView, aRequest, cached, usualFailures, suspectZones);
+    const double cost = CostOf(candidate,
+                               aView,
+                               aRequest,
+                               cached,
+                               usualFailures,
+                               suspectZones,
+                               localMean);
     // Equal costs are split by the key's weight, so instances do not herd.
     if (!best || cost < bestCost ||
         (cost == bestCost && candidate.weight > best->weight)) {
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -182,12 +182,36 @@
   }
 }
 
+void
+UpstreamTable::CountPeers(UpstreamId aId,
+                          uint32_t aRequests,
+                          double aPendingTokens,
+                          TimePoint aNow)
+{
+  if (Upstream* row = Find(aId)) {
+    row->peerRequests = aRequests;
+    row->peerPendingTokens = aPendingTokens;
+    row->peersAt = aNow;
+  }
+}
+
+double
+UpstreamTable::PendingTokens(const Upstream& aUpstream, TimePoint aNow)
+{
+  const bool told = aNow - aUpstream.peersAt < kLoadMemory;
+  return aUpstream.pendingTokens + (told ? aUpstream.peerPendingTokens : 0);
+}
+
 double
 UpstreamTable::Load(const Upstream& aUpstream, TimePoint aNow)
 {
   const double age =
     core::Seconds(aNow - aUpstream.othersLoadAt) / core::Seconds(kLoadMemory);
-  return aUpstream.inFlight + aUpstream.othersLoad / (1 + age * age);
+  const double reported = aUpstream.othersLoad / (1 + age * age);
+  const bool told = aNow - aUpstream.peersAt < kLoadMemory;
+  return aUpstream.inFlight +
+         std::max(reported,
+                  told ? static_cast<double>(aUpstream.peerRequests) : 0.0);
 }
 
 } // namespace hibiscusnotch::routing
