--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   prometheus-cpp-dev liblog4cxx-dev doctest-dev libyaml-cpp-dev \
   nlohmann-json3-dev libxxhash-dev libssl-dev clang libclang-rt-14-dev
 
-.PHONY: all packages build test process-test demo lint format policy bench sanitize fuzz clean
+.PHONY: all packages build test soak process-test demo lint format policy bench sanitize fuzz clean
 
 all: build
 
@@ -20,6 +20,14 @@
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
 	@cmake --build $(BUILD)
 
+# Plays seeded faults against separate entry processes; prints each broken
+# promise and the command that plays it again.
+SEED ?= 1
+SECONDS ?= 20
+soak: build
+	@$(BUILD)/hibiscusnotch_soak --binary $(BUILD)/hibiscusnotch \
+	  --seed $(SEED) --seconds $(SECONDS)
+
 demo: build
 	@$(BUILD)/hibiscusnotch demo
 
@@ -41,7 +49,7 @@
 # Runs each fuzzer on a fixed number of inputs with a fixed seed.
 FUZZ_RUNS ?= 100000
 FUZZERS := message_codec_fuzzer sse_reader_fuzzer settings_fuzzer \
-  claim_bucket_fuzzer
+  claim_bucket_fuzzer http_reader_fuzzer peer_message_fuzzer
 
 fuzz: packages
 	@cmake -S . -B $(BUILD)-fuzz -G Ninja -DHIBISCUSNOTCH_FUZZ=ON \
--- a/src/hibiscusnotch/cli/check_command.cpp
+++ b/src/hibiscusnotch/cli/check_command.cpp
@@ -1,6 +1,7 @@
 #include "commands.hpp"
 
 #include "hibiscusnotch/cli/options.hpp"
+#include "platform/run.hpp"
 
 #include <iostream>
 
@@ -10,12 +11,29 @@
 RunCheck(const Arguments& aArguments)
 {
   boost::program_options::options_description options("Options");
-  AddSettingsOptions(options, true);
+  AddSettingsOptions(options, false);
+  options.add_options()(
+    "settings",
+    boost::program_options::value<std::string>(),
+    "settings file of the platform, in place of the others");
   const ParsedOptions parsed = ParseOptions(
     "check", "Checks settings; one line for each fault.", options, aArguments);
   if (parsed.exit) {
     return *parsed.exit;
   }
+  if (parsed.values.contains("settings")) {
+    const auto file = parsed.values["settings"].as<std::string>();
+    if (!adapter::CheckNodeSettings(file)) {
+      return kExitFailed;
+    }
+    std::cout << file << ": ok\n";
+    return kExitOk;
+  }
+  if (!parsed.values.contains("base")) {
+    std::cerr << "hibiscusnotch check: --base or --settings is required\n"
+                 "Try 'hibiscusnotch check --help'.\n";
+    return kExitUsage;
+  }
   const auto settings = LoadFromOptions(parsed.values);
   if (!settings) {
     return kExitFailed;
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -90,6 +90,16 @@
     AwaitAccept();
   }
 
+  ~TcpListener() override
+  {
+    for (auto& [id, row] : rows_) {
+      timers_.Cancel(row.timer);
+    }
+  }
+
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+
   void Start(ExchangeId aId,
              int aStatus,
              std::string_view aReason,
@@ -266,18 +276,21 @@
       return;
     }
     aRow.waitingRead = true;
-    aRow.socket.async_wait(
-      tcp::socket::wait_read,
-      [this, aId](const boost::system::error_code& aError) {
-        if (Connection* row = Find(aId)) {
-          row->waitingRead = false;
-          if (aError) {
-            Close(aId, true);
-          } else {
-            OnReadable(aId, *row);
-          }
-        }
-      });
+    aRow.socket.async_wait(tcp::socket::wait_read,
+                           [this, aId, alive = std::weak_ptr(alive_)](
+                             const boost::system::error_code& aError) {
+                             if (alive.expired()) {
+                               return;
+                             }
+                             if (Connection* row = Find(aId)) {
+                               row->waitingRead = false;
+                               if (aError) {
+                                 Close(aId, true);
+                               } else {
+                                 OnReadable(aId, *row);
+                               }
+                             }
+                           });
   }
 
   void OnReadable(ConnectionId aId, Connection& aRow)
@@ -394,18 +407,21 @@
         return;
       }
       row->waitingWrite = true;
-      row->socket.async_wait(
-        tcp::socket::wait_write,
-        [this, aId](const boost::system::error_code& aError) {
-          if (Connection* waiting = Find(aId)) {
-            waiting->waitingWrite = false;
-            if (aError) {
-              Close(aId, true);
-            } else {
-              Flush(aId);
-            }
-          }
-        });
+      row->socket.async_wait(tcp::socket::wait_write,
+                             [this, aId, alive = std::weak_ptr(alive_)](
+                               const boost::system::error_code& aError) {
+                               if (alive.expired()) {
+                                 return;
+                               }
+                               if (Connection* waiting = Find(aId)) {
+                                 waiting->waitingWrite = false;
+                                 if (aError) {
+                                   Close(aId, true);
+                                 } else {
+                                   Flush(aId);
+                                 }
+                               }
+                             });
       return;
     }
     row->out.clear();
@@ -453,6 +469,8 @@
   std::size_t serving_ = 0;
   bool draining_ = false;
   bool closing_ = false;
+  /// Handlers that the event loop still holds outlive this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace
