--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -53,8 +53,9 @@
   TimePoint giveUpWaitingAt{}; ///< Refused if no upstream is free by then.
   relay::TimerId endTimer = 0;
   relay::TimerId waitTimer = 0;
-  uint32_t runs = 0;  ///< Executions that began, or may have.
-  uint32_t sends = 0; ///< All sends, refused ones included.
+  relay::TimerId attemptTimer = 0; ///< Of an idempotent request's send.
+  uint32_t runs = 0;               ///< Executions that began, or may have.
+  uint32_t sends = 0;              ///< All sends, refused ones included.
   bool mayHaveRun = false;
   bool answering = false; ///< The caller has part of an answer.
   bool paused = false;
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -51,13 +51,17 @@
 // Sends beyond the executions allowed: refused ones do not count as such.
 constexpr uint32_t kExtraSends = 3;
 // Answers that are not streams are held back up to this size.
-constexpr std::size_t kMaxHeldBody = 512 * 1024;
+constexpr std::size_t kMaxHeldBody = 4 * 1024 * 1024;
 // Bytes of one answer that may wait for a slow caller.
 constexpr std::size_t kMaxPending = 256 * 1024;
 // A crash shows as a broken answer and a refused connection this soon after.
 constexpr Duration kCrashWindow{ 1'000'000 };
 // Part of the retry allowance that escalations may use.
 constexpr double kEscalationShare = 0.85;
+// The same for attempts that are only slow.
+constexpr double kSlowAttemptShare = 0.6;
+// No upstream's usual answer takes less.
+constexpr Duration kShortestAttempt{ 200'000 };
 
 std::string
 Milliseconds(Duration aDuration)
@@ -487,6 +491,39 @@
     };
     attempt.call = caller_.Start(std::move(call), std::move(observer));
     aExchange.attempt = std::move(attempt);
+    if (aExchange.route.repeatability == Repeatability::Idempotent) {
+      aExchange.attemptTimer =
+        timers_.After(std::max(aExchange.route.objective, kShortestAttempt),
+                      [this, id] { OnSlowAttempt(id); });
+    }
+  }
+
+  /// An idempotent request does not wait for an upstream that hangs.
+  void OnSlowAttempt(ExchangeId aId)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found == exchanges_.end() || !found->second.attempt ||
+        found->second.attempt->head) {
+      return;
+    }
+    Exchange& exchange = found->second;
+    exchange.attemptTimer = 0;
+    const Attempt attempt = *exchange.attempt;
+    fleet_.upstreams.CountOutcome(attempt.upstream, false);
+    CountForRollout(exchange, attempt, false);
+    Reason reason = Reason::NoUpstream;
+    if (exchange.runs + 1 >= exchange.route.maxAttempts ||
+        !Choose(exchange, exchange.size, reason) ||
+        !TakeRetry(exchange, kSlowAttemptShare)) {
+      return; // the answer may still come
+    }
+    log_.Write(EventNumber::AttemptEnded,
+               Describe(exchange) + " end=abandoned took_ms=" +
+                 Milliseconds(timers_.Now() - attempt.sentAt));
+    ++exchange.runs;
+    exchange.mayHaveRun = true;
+    EndAttempt(exchange);
+    Dispatch(exchange);
   }
 
   static Duration ConnectTimeout(const Exchange& aExchange)
@@ -673,6 +710,7 @@
     if (!aExchange.attempt) {
       return;
     }
+    timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
     StopReadingPrompt(attempt);
     fleet_.upstreams.CountEnd(attempt.upstream);
@@ -876,6 +914,9 @@
       Break(exchange, Reason::DeadlinePassed);
       return;
     }
+    if (exchange.attempt && !exchange.attempt->head) {
+      fleet_.upstreams.CountOutcome(exchange.attempt->upstream, false);
+    }
     const bool sent = exchange.attempt.has_value() || exchange.mayHaveRun;
     Refuse(exchange,
            sent ? kGatewayTimeout : kUnavailable,
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -302,6 +302,51 @@
   CHECK(fixture.Answer(id).Header("seal") == "s");
 }
 
+TEST_CASE("an idempotent request does not wait for an upstream that hangs")
+{
+  // Pattern: part of an upstream's requests hang while its health is good.
+  Fixture fixture;
+  const auto id = fixture.Request("safe");
+  fixture.timers.Advance(kSecond + kSecond / 10);
+  REQUIRE(fixture.caller.sent.size() == 2);
+  CHECK_FALSE(fixture.caller.IsOpen(0));
+  fixture.Reply(1, 200);
+  CHECK(fixture.Answer(id).status == 200);
+}
+
+TEST_CASE("what may run once waits for its answer")
+{
+  Fixture fixture;
+  const auto id = fixture.Request("unsafe");
+  fixture.timers.Advance(2 * kSecond);
+  CHECK(fixture.caller.sent.size() == 1);
+  CHECK(fixture.caller.IsOpen(0));
+  fixture.Reply(0, 200);
+  CHECK(fixture.Answer(id).status == 200);
+}
+
+TEST_CASE("an upstream that hangs is passed over by requests that run once")
+{
+  Fixture fixture;
+  std::string hanging;
+  for (int request = 0; request < 5; ++request) {
+    fixture.Request("unsafe");
+    const std::size_t send = fixture.caller.sent.size() - 1;
+    const std::string upstream = fixture.Message(send).substr(0, 2);
+    hanging = hanging.empty() ? upstream : hanging;
+    if (upstream != hanging) {
+      fixture.Reply(send, 200);
+    }
+    fixture.timers.Advance(4 * kSecond);
+    fixture.fleet.configurationConfirmed = fixture.timers.Now();
+  }
+  std::size_t hung = 0;
+  for (std::size_t send = 0; send < fixture.caller.sent.size(); ++send) {
+    hung += fixture.Message(send).substr(0, 2) == hanging ? 1 : 0;
+  }
+  CHECK(hung <= 4);
+}
+
 TEST_CASE("a stream goes on elsewhere after its last whole event")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -53,12 +53,7 @@
 {
   std::vector<double> shares;
   for (const Candidate& candidate : aCandidates) {
-    if (candidate.row->outcomes >= kFewestOutcomes) {
-      shares.push_back(candidate.row->failureShare);
-    }
-  }
-  if (shares.empty()) {
-    return 0;
+    shares.push_back(candidate.row->failureShare); // zero while unknown
   }
   const auto middle =
     shares.begin() + static_cast<std::ptrdiff_t>((shares.size() - 1) / 2);
