--- /dev/null
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -0,0 +1,142 @@
+#include "attempt_planner.hpp"
+
+#include "hibiscusnotch/core/rendezvous.hpp"
+#include "hibiscusnotch/routing/cold_part.hpp"
+#include "hibiscusnotch/routing/placement.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace hibiscusnotch::entry {
+
+namespace {
+
+/// What must stay on one software version through a roll-out.
+uint64_t
+VersionKey(const Exchange& aExchange)
+{
+  if (!aExchange.facts.session.empty()) {
+    return core::StableHash(aExchange.facts.session);
+  }
+  if (!aExchange.facts.parts.empty()) {
+    return core::StableHash(aExchange.facts.parts.back().id);
+  }
+  return core::StableHash(aExchange.facts.requestId);
+}
+
+} // namespace
+
+AttemptPlanner::AttemptPlanner(const RouterOptions& aOptions,
+                               const FleetState& aFleet,
+                               const relay::Timers& aTimers)
+  : options_(aOptions)
+  , fleet_(aFleet)
+  , timers_(aTimers)
+{
+}
+
+std::string
+AttemptPlanner::ServiceFor(const Exchange& aExchange) const
+{
+  const auto& shares = aExchange.route.services;
+  uint64_t total = 0;
+  for (const routing::TrafficShare& share : shares) {
+    total += share.weight;
+  }
+  if (total == 0) {
+    return shares.empty() ? std::string() : shares.front().service;
+  }
+  uint64_t draw = core::StableHash(aExchange.facts.requestId) % total;
+  for (const routing::TrafficShare& share : shares) {
+    if (draw < share.weight) {
+      return share.service;
+    }
+    draw -= share.weight;
+  }
+  return shares.back().service;
+}
+
+double
+AttemptPlanner::ColdSendsPerSecond(const routing::Upstream& aUpstream) const
+{
+  const routing::Service* service =
+    fleet_.configuration->FindService(aUpstream.entry.service);
+  if (!service || service->coldRate <= 0) {
+    return std::numeric_limits<double>::infinity();
+  }
+  constexpr double kMargin = 0.85; // requests that arrive bunched together
+  std::vector<routing::ColdSender> senders;
+  for (const auto& [name, row] : fleet_.instances) {
+    senders.push_back({ name, row.zone == aUpstream.entry.zone });
+  }
+  return routing::ColdPart(
+    kMargin * (service->coldRate * options_.coldFactor + options_.coldExtra),
+    aUpstream.entry.name,
+    options_.instanceName,
+    senders);
+}
+
+std::optional<core::UpstreamId>
+AttemptPlanner::Choose(const Exchange& aExchange,
+                       std::size_t aSize,
+                       core::Reason& aLastReason) const
+{
+  const std::string service = ServiceFor(aExchange);
+  const routing::VersionRule rule =
+    fleet_.rollouts.RuleFor(service, VersionKey(aExchange), timers_.Now());
+  routing::PlacementRequest wanted;
+  wanted.service = service;
+  wanted.model = ModelOf(aExchange, aSize);
+  wanted.onlyVersion = rule.only;
+  wanted.exceptVersion = rule.except;
+  wanted.tried = aExchange.tried;
+  wanted.promptTokens = aExchange.facts.promptTokens;
+  const auto& parts = aExchange.facts.parts;
+  if (parts.size() > 1) {
+    wanted.affinityKey = parts[parts.size() - 2].id;
+    for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
+      wanted.sharedTokens += parts[part].tokens;
+    }
+  }
+  const routing::PlacementView view{ fleet_.upstreams,
+                                     fleet_.zonesOut,
+                                     options_.zone,
+                                     [this](
+                                       const routing::Upstream& aUpstream) {
+                                       return ColdSendsPerSecond(aUpstream);
+                                     },
+                                     timers_.Now() };
+  auto chosen = routing::Place(view, wanted, aLastReason);
+  if (!chosen && !rule.only.empty()) {
+    // The new version has no upstream yet; the old ones still serve.
+    wanted.onlyVersion = {};
+    chosen = routing::Place(view, wanted, aLastReason);
+  }
+  return chosen;
+}
+
+std::string
+ModelOf(const Exchange& aExchange, std::size_t aSize)
+{
+  return aSize < aExchange.route.models.size() ? aExchange.route.models[aSize]
+                                               : aExchange.facts.model;
+}
+
+Duration
+ConnectTimeout(const Exchange& aExchange)
+{
+  constexpr Duration kLongest{ 250'000 }; // many round trips within a region
+  constexpr Duration kShortest{ 60'000 };
+  return std::clamp(aExchange.route.objective / 8, kShortest, kLongest);
+}
+
+Duration
+SilenceLimit(const Exchange& aExchange)
+{
+  constexpr Duration kShortest{ 150'000 };
+  constexpr Duration kLongest{ 500'000 }; // a step of a loaded engine and more
+  return std::clamp(aExchange.route.objective / 2, kShortest, kLongest);
+}
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// @brief Decides where the next attempt of a request goes.
+#pragma once
+
+#include "exchange.hpp"
+#include "hibiscusnotch/core/verdict.hpp"
+#include "hibiscusnotch/entry/fleet_state.hpp"
+#include "hibiscusnotch/entry/request_router.hpp"
+
+#include <optional>
+#include <string>
+
+namespace hibiscusnotch::entry {
+
+class AttemptPlanner
+{
+public:
+  AttemptPlanner(const RouterOptions& aOptions,
+                 const FleetState& aFleet,
+                 const relay::Timers& aTimers);
+
+  /// @brief The service of the route's split that the request belongs to.
+  std::string ServiceFor(const Exchange& aExchange) const;
+
+  /// @brief The upstream for one of the route's models.
+  std::optional<core::UpstreamId> Choose(const Exchange& aExchange,
+                                         std::size_t aSize,
+                                         core::Reason& aLastReason) const;
+
+private:
+  double ColdSendsPerSecond(const routing::Upstream& aUpstream) const;
+
+  const RouterOptions& options_;
+  const FleetState& fleet_;
+  const relay::Timers& timers_;
+};
+
+/// @brief The model of a row of the route's sizes, or the caller's.
+std::string
+ModelOf(const Exchange& aExchange, std::size_t aSize);
+
+/// @brief How long an attempt may take to connect.
+Duration
+ConnectTimeout(const Exchange& aExchange);
+
+/// @brief How long an upstream may say nothing before it is probed.
+Duration
+SilenceLimit(const Exchange& aExchange);
+
+} // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/load_exchange.cpp
+++ b/src/hibiscusnotch/entry/load_exchange.cpp
@@ -78,6 +78,7 @@
   }
   std::ranges::sort(ranked, std::greater<>());
   std::vector<std::string> names;
+  names.reserve(ranked.size());
   for (auto& [weight, name] : ranked) {
     names.push_back(std::move(name));
   }
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -1,12 +1,11 @@
 #include "hibiscusnotch/entry/request_router.hpp"
 
+#include "attempt_planner.hpp"
 #include "exchange.hpp"
 #include "hibiscusnotch/core/rendezvous.hpp"
-#include "hibiscusnotch/routing/cold_part.hpp"
-#include "hibiscusnotch/routing/placement.hpp"
+#include "hibiscusnotch/routing/crash_blame.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <unordered_map>
 
@@ -54,8 +53,6 @@
 constexpr std::size_t kMaxHeldBody = 4 * 1024 * 1024;
 // Bytes of one answer that may wait for a slow caller.
 constexpr std::size_t kMaxPending = 256 * 1024;
-// A crash shows as a broken answer and a refused connection this soon after.
-constexpr Duration kCrashWindow{ 1'000'000 };
 // Part of the retry allowance that escalations may use.
 constexpr double kEscalationShare = 0.85;
 // The same for attempts that are only slow.
@@ -86,14 +83,6 @@
   }
 }
 
-/// A broken attempt whose upstream may turn out to have crashed.
-struct BrokenAttempt
-{
-  UpstreamId upstream;
-  uint64_t fingerprint = 0;
-  TimePoint at{};
-};
-
 class Router : public RequestRouter
 {
 public:
@@ -105,6 +94,7 @@
     , fleet_(aParts.fleet)
     , log_(aParts.log)
     , metrics_(aParts.metrics)
+    , planner_(options_, fleet_, timers_)
   {
   }
 
@@ -297,105 +287,6 @@
                       kRetryAfterPart);
   }
 
-  std::string ServiceFor(const Exchange& aExchange) const
-  {
-    const auto& shares = aExchange.route.services;
-    uint64_t total = 0;
-    for (const routing::TrafficShare& share : shares) {
-      total += share.weight;
-    }
-    if (total == 0) {
-      return shares.empty() ? std::string() : shares.front().service;
-    }
-    uint64_t draw = core::StableHash(aExchange.facts.requestId) % total;
-    for (const routing::TrafficShare& share : shares) {
-      if (draw < share.weight) {
-        return share.service;
-      }
-      draw -= share.weight;
-    }
-    return shares.back().service;
-  }
-
-  /// What must stay on one software version through a roll-out.
-  static uint64_t VersionKey(const Exchange& aExchange)
-  {
-    if (!aExchange.facts.session.empty()) {
-      return core::StableHash(aExchange.facts.session);
-    }
-    if (!aExchange.facts.parts.empty()) {
-      return core::StableHash(aExchange.facts.parts.back().id);
-    }
-    return core::StableHash(aExchange.facts.requestId);
-  }
-
-  routing::PlacementView View() const
-  {
-    return { fleet_.upstreams,
-             fleet_.zonesOut,
-             options_.zone,
-             [this](const routing::Upstream& aUpstream) {
-               return ColdSendsPerSecond(aUpstream);
-             },
-             timers_.Now() };
-  }
-
-  double ColdSendsPerSecond(const routing::Upstream& aUpstream) const
-  {
-    const routing::Service* service =
-      fleet_.configuration->FindService(aUpstream.entry.service);
-    if (!service || service->coldRate <= 0) {
-      return std::numeric_limits<double>::infinity();
-    }
-    constexpr double kMargin = 0.85; // requests that arrive bunched together
-    std::vector<routing::ColdSender> senders;
-    for (const auto& [name, row] : fleet_.instances) {
-      senders.push_back({ name, row.zone == aUpstream.entry.zone });
-    }
-    return routing::ColdPart(
-      kMargin * (service->coldRate * options_.coldFactor + options_.coldExtra),
-      aUpstream.entry.name,
-      options_.instanceName,
-      senders);
-  }
-
-  std::optional<UpstreamId> Choose(const Exchange& aExchange,
-                                   std::size_t aSize,
-                                   Reason& aReason) const
-  {
-    const std::string service = ServiceFor(aExchange);
-    const routing::VersionRule rule =
-      fleet_.rollouts.RuleFor(service, VersionKey(aExchange), timers_.Now());
-    routing::PlacementRequest wanted;
-    wanted.service = service;
-    wanted.model = ModelOf(aExchange, aSize);
-    wanted.onlyVersion = rule.only;
-    wanted.exceptVersion = rule.except;
-    wanted.tried = aExchange.tried;
-    wanted.promptTokens = aExchange.facts.promptTokens;
-    const auto& parts = aExchange.facts.parts;
-    if (parts.size() > 1) {
-      wanted.affinityKey = parts[parts.size() - 2].id;
-      for (std::size_t part = 0; part + 1 < parts.size(); ++part) {
-        wanted.sharedTokens += parts[part].tokens;
-      }
-    }
-    const routing::PlacementView view = View();
-    auto chosen = routing::Place(view, wanted, aReason);
-    if (!chosen && !rule.only.empty()) {
-      // The new version has no upstream yet; the old ones still serve.
-      wanted.onlyVersion = {};
-      chosen = routing::Place(view, wanted, aReason);
-    }
-    return chosen;
-  }
-
-  static std::string ModelOf(const Exchange& aExchange, std::size_t aSize)
-  {
-    return aSize < aExchange.route.models.size() ? aExchange.route.models[aSize]
-                                                 : aExchange.facts.model;
-  }
-
   /// Sends the request to an upstream, or lets it wait for one.
   void Dispatch(Exchange& aExchange)
   {
@@ -403,7 +294,7 @@
       return;
     }
     Reason reason = Reason::NoUpstream;
-    const auto chosen = Choose(aExchange, aExchange.size, reason);
+    const auto chosen = planner_.Choose(aExchange, aExchange.size, reason);
     if (!chosen) {
       Wait(aExchange, reason);
       return;
@@ -418,8 +309,8 @@
       GiveUp(aExchange, aReason);
       return;
     }
-    if (MayRefuseAgain(aReason)) {
-      aExchange.tried.clear();
+    if (aReason == Reason::NoUpstream) {
+      aExchange.tried.clear(); // those that refused may take it by then
     }
     const ExchangeId id = aExchange.id;
     aExchange.waitTimer = timers_.After(kWaitStep, [this, id] {
@@ -431,12 +322,6 @@
     });
   }
 
-  /// True when waiting may help an upstream that refused before.
-  static bool MayRefuseAgain(Reason aReason)
-  {
-    return aReason == Reason::NoUpstream;
-  }
-
   void Send(Exchange& aExchange, UpstreamId aUpstream)
   {
     const TimePoint now = timers_.Now();
@@ -513,7 +398,7 @@
     CountForRollout(exchange, attempt, false);
     Reason reason = Reason::NoUpstream;
     if (exchange.runs + 1 >= exchange.route.maxAttempts ||
-        !Choose(exchange, exchange.size, reason) ||
+        !planner_.Choose(exchange, exchange.size, reason) ||
         !TakeRetry(exchange, kSlowAttemptShare)) {
       return; // the answer may still come
     }
@@ -526,23 +411,6 @@
     Dispatch(exchange);
   }
 
-  static Duration ConnectTimeout(const Exchange& aExchange)
-  {
-    constexpr Duration kLongest{ 250'000 }; // many round trips within a region
-    constexpr Duration kShortest{ 60'000 };
-    return std::clamp(aExchange.route.objective / 8, kShortest, kLongest);
-  }
-
-  /// How long an upstream may say nothing before it is probed.
-  static Duration SilenceLimit(const Exchange& aExchange)
-  {
-    constexpr Duration kShortest{ 150'000 };
-    constexpr Duration kLongest{
-      500'000
-    }; // a step of a loaded engine and more
-    return std::clamp(aExchange.route.objective / 2, kShortest, kLongest);
-  }
-
   void OnHead(ExchangeId aId, const relay::ResponseHead& aHead)
   {
     const auto found = exchanges_.find(aId);
@@ -627,7 +495,7 @@
     }
     const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
     Reason reason = Reason::NoUpstream;
-    const auto chosen = Choose(aExchange, *next, reason);
+    const auto chosen = planner_.Choose(aExchange, *next, reason);
     if (!chosen || !TakeRetry(aExchange, kEscalationShare)) {
       aExchange.tried = tried;
       return false;
@@ -644,7 +512,7 @@
 
   bool TakeRetry(const Exchange& aExchange, double aShare)
   {
-    return allowances_[ServiceFor(aExchange)].Take(
+    return allowances_[planner_.ServiceFor(aExchange)].Take(
       options_.retries, fleet_.InstanceCount(), aShare, timers_.Now());
   }
 
@@ -789,8 +657,8 @@
     }
     fleet_.upstreams.CountOutcome(aAttempt.upstream, false);
     CountForRollout(aExchange, aAttempt, false);
-    broken_.push_back(
-      { aAttempt.upstream, aExchange.fingerprint, timers_.Now() });
+    crashBlame_.CountBroken(
+      aAttempt.upstream, aExchange.fingerprint, timers_.Now());
     aExchange.events.DropTail();
     Retry(aExchange, Reason::AttemptLost, true);
   }
@@ -798,20 +666,15 @@
   /// An upstream refuses connections: whoever broke there may have crashed it.
   void BlameBrokenAttempts(UpstreamId aUpstream)
   {
-    const TimePoint now = timers_.Now();
-    std::erase_if(broken_, [&](const BrokenAttempt& aBroken) {
-      if (aBroken.upstream == aUpstream && now - aBroken.at < kCrashWindow) {
-        const uint32_t losses =
-          fleet_.quarantine.CountLoss(aBroken.fingerprint);
-        if (fleet_.quarantine.Holds(aBroken.fingerprint)) {
-          log_.Write(EventNumber::RequestQuarantined,
-                     "fingerprint=" + std::to_string(aBroken.fingerprint) +
-                       " upstreams_lost=" + std::to_string(losses));
-        }
-        return true;
+    for (const uint64_t fingerprint :
+         crashBlame_.TakeSuspects(aUpstream, timers_.Now())) {
+      const uint32_t losses = fleet_.quarantine.CountLoss(fingerprint);
+      if (fleet_.quarantine.Holds(fingerprint)) {
+        log_.Write(EventNumber::RequestQuarantined,
+                   "fingerprint=" + std::to_string(fingerprint) +
+                     " upstreams_lost=" + std::to_string(losses));
       }
-      return now - aBroken.at >= kCrashWindow;
-    });
+    }
   }
 
   void OnComplete(Exchange& aExchange, const Attempt& aAttempt)
@@ -1019,10 +882,11 @@
   FleetState& fleet_;
   EventLog& log_;
   observe::Metrics& metrics_;
+  AttemptPlanner planner_;
   relay::Listener* listener_ = nullptr;
   std::unordered_map<ExchangeId, Exchange> exchanges_;
   std::map<std::string, routing::RetryAllowance> allowances_;
-  std::vector<BrokenAttempt> broken_;
+  routing::CrashBlame crashBlame_;
   bool refusing_ = false;
 };
 
--- a/src/hibiscusnotch/store/relayed_store.cpp
+++ b/src/hibiscusnotch/store/relayed_store.cpp
@@ -1,9 +1,10 @@
 #include "hibiscusnotch/store/relayed_store.hpp"
 
+#include "hibiscusnotch/relay/fetcher.hpp"
 #include "hibiscusnotch/store/mirror.hpp"
 
 #include <map>
-#include <unordered_map>
+#include <vector>
 
 namespace hibiscusnotch::store {
 
@@ -15,16 +16,6 @@
 constexpr Duration kPollSlack{ 450'000 };      // beyond the wait that was asked
 constexpr Duration kListTimeout{ 600'000 };
 
-struct PendingPoll
-{
-  std::string peer;
-  int status = 0;
-  std::string body;
-  relay::CallId call = 0;
-  relay::TimerId timer = 0;
-  std::function<void(int aStatus, const std::string& aBody)> done;
-};
-
 class RelayedStore : public ObjectStore
 {
 public:
@@ -34,10 +25,10 @@
                RelayedStoreOptions aOptions,
                RelayedStoreObserver aObserver)
     : direct_(aDirect)
-    , caller_(aCaller)
     , timers_(aTimers)
     , options_(std::move(aOptions))
     , observer_(std::move(aObserver))
+    , fetcher_(aCaller, aTimers)
   {
   }
 
@@ -185,66 +176,47 @@
     unreachable_[aPeer] += aUnreachable ? 1 : 0;
     observer_.onPeerLost(aPeer, unreachable_[aPeer]);
     // What else waits at that peer turns to another source now.
-    std::vector<uint64_t> waiting;
-    for (const auto& [id, poll] : pending_) {
-      if (poll.peer == aPeer) {
+    std::vector<relay::FetchId> waiting;
+    for (const auto& [id, peer] : polls_) {
+      if (peer == aPeer) {
         waiting.push_back(id);
       }
     }
-    for (const uint64_t id : waiting) {
-      End(id, false);
+    for (const relay::FetchId id : waiting) {
+      fetcher_.Abandon(id);
     }
   }
 
   void Ask(const MirrorPeer& aPeer,
            const MirrorQuery& aQuery,
            Duration aTimeout,
-           std::function<void(int, const std::string&)> aDone)
+           const relay::FetchDone& aDone)
   {
-    const uint64_t id = ++last_;
     relay::OutgoingCall call;
     call.to = aPeer.endpoint;
     call.connectTimeout = kConnectTimeout;
     call.message = "GET " + WriteMirrorTarget(aQuery) +
                    " HTTP/1.1\r\nHost: " + aPeer.endpoint.address +
                    "\r\nConnection: close\r\n\r\n";
-    relay::CallObserver observer;
-    observer.onHead = [this, id](const relay::ResponseHead& aHead) {
-      pending_.at(id).status = aHead.status;
-    };
-    observer.onBody = [this, id](std::string_view aBytes) {
-      pending_.at(id).body.append(aBytes);
-    };
-    observer.onEnd = [this, id](relay::CallEnd aEnd, std::string_view) {
-      End(id, aEnd == relay::CallEnd::Complete);
-    };
-    PendingPoll& row = pending_[id];
-    row.peer = aPeer.name;
-    row.done = std::move(aDone);
-    row.timer = timers_.After(aTimeout, [this, id] { End(id, false); });
-    row.call = caller_.Start(std::move(call), std::move(observer));
-  }
-
-  void End(uint64_t aId, bool aComplete)
-  {
-    auto row = pending_.extract(aId);
-    if (row.empty()) {
-      return;
-    }
-    timers_.Cancel(row.mapped().timer);
-    caller_.Cancel(row.mapped().call);
-    row.mapped().done(aComplete ? row.mapped().status : 0, row.mapped().body);
+    const auto id = std::make_shared<relay::FetchId>(0);
+    *id =
+      fetcher_.Start(std::move(call),
+                     aTimeout,
+                     [this, id, aDone](int aStatus, const std::string& aBody) {
+                       polls_.erase(*id);
+                       aDone(aStatus, aBody);
+                     });
+    polls_.emplace(*id, aPeer.name);
   }
 
   ObjectStore& direct_;
-  relay::Caller& caller_;
   relay::Timers& timers_;
   RelayedStoreOptions options_;
   RelayedStoreObserver observer_;
   std::map<std::string, TimePoint> avoidUntil_;
   std::map<std::string, uint32_t> unreachable_;
-  std::unordered_map<uint64_t, PendingPoll> pending_;
-  uint64_t last_ = 0;
+  relay::Fetcher fetcher_;
+  std::map<relay::FetchId, std::string> polls_; ///< Open ones, by peer.
   bool probeFailed_ = false;
 };
 
