--- a/include/hibiscusnotch/entry/gossip.hpp
+++ b/include/hibiscusnotch/entry/gossip.hpp
@@ -24,7 +24,7 @@
   Duration period{ 300'000 };     ///< Of evidence, while there is some.
   Duration loadPeriod{ 200'000 }; ///< Of reports on work, while there is some.
   /// @brief After so long without sums the next instance serves as hub.
-  Duration hubSilence{ 1'000'000 };
+  Duration hubSilence{ 1'500'000 };
 };
 
 /// @brief Sends evidence on open roll-outs and quarantined requests to all
@@ -74,6 +74,7 @@
 bool
 ReadGossip(std::string_view aMessage,
            FleetState& aFleet,
+           TimePoint aNow,
            std::string& aLastReason);
 
 } // namespace hibiscusnotch::entry
--- a/include/hibiscusnotch/entry/load_exchange.hpp
+++ b/include/hibiscusnotch/entry/load_exchange.hpp
@@ -39,8 +39,8 @@
 class LoadHub
 {
 public:
-  /// @brief How long a report counts. Source: three periods of reports.
-  static constexpr Duration kReportAge{ 700'000 };
+  /// @brief How long a report counts: two of the longest periods.
+  static constexpr Duration kReportAge{ 1'300'000 };
 
   void Take(std::string_view aSender, const WorkTable& aWork, TimePoint aNow);
   WorkTable SumWithout(std::string_view aReceiver, TimePoint aNow) const;
--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -54,6 +54,7 @@
 struct RolloutEvidence
 {
   uint64_t creation = 0; ///< Of the order it belongs to.
+  Duration age{ 0 };     ///< Since the instance first saw the order.
   /// @brief By route: answers of the target and of the other versions.
   std::map<std::string, AnswerCounts> target;
   std::map<std::string, AnswerCounts> others;
@@ -87,7 +88,8 @@
   std::map<std::string, RolloutEvidence> OwnEvidence(TimePoint aNow);
   void TakeEvidence(std::string_view aService,
                     std::string_view aInstance,
-                    const RolloutEvidence& aEvidence);
+                    const RolloutEvidence& aEvidence,
+                    TimePoint aNow);
 
   /// @brief The state that should be written now, if it differs.
   std::optional<RolloutState> Wanted(std::string_view aService, TimePoint aNow);
--- a/src/hibiscusnotch/entry/gossip.cpp
+++ b/src/hibiscusnotch/entry/gossip.cpp
@@ -1,5 +1,6 @@
 #include "hibiscusnotch/entry/gossip.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -13,6 +14,7 @@
 using nlohmann::json;
 
 constexpr std::size_t kMaxDatagram = 8 * 1024;
+constexpr std::ptrdiff_t kUpstreamsPerPeriod = 60; // 0.6 KB of sums
 constexpr std::size_t kMaxFingerprints = 32; // keeps a message in one packet
 
 json
@@ -82,7 +84,17 @@
                  { LoadMessageKind::Report, options_.instanceName, own }));
       }
     }
-    timers_.After(options_.loadPeriod, [this] { LoadStep(); });
+    timers_.After(options_.loadPeriod * PeriodFactor(), [this] { LoadStep(); });
+  }
+
+  /// Sums grow with the zone's upstreams; their bytes a second do not.
+  int PeriodFactor() const
+  {
+    const auto upstreams =
+      std::ranges::count_if(fleet_.upstreams.Rows(), [this](const auto& aRow) {
+        return aRow.second.entry.zone == options_.zone;
+      });
+    return 1 + static_cast<int>(upstreams / kUpstreamsPerPeriod);
   }
 
   void OnLoad(const LoadMessage& aMessage, const udp::endpoint& aSender)
@@ -158,7 +170,7 @@
         continue;
       }
       std::string reason;
-      if (!ReadGossip({ bytes.data(), size }, fleet_, reason)) {
+      if (!ReadGossip({ bytes.data(), size }, fleet_, timers_.Now(), reason)) {
         log_.Write(core::EventNumber::PeerMessageUnreadable,
                    "from=" + sender.address().to_string() + " why=\"" + reason +
                      '"');
@@ -221,6 +233,7 @@
   for (const auto& [service, evidence] : aFleet.rollouts.OwnEvidence(aNow)) {
     rollouts.push_back({ service,
                          evidence.creation,
+                         evidence.age.count(),
                          WriteCounts(evidence.target),
                          WriteCounts(evidence.others) });
   }
@@ -239,6 +252,7 @@
 bool
 ReadGossip(std::string_view aMessage,
            FleetState& aFleet,
+           TimePoint aNow,
            std::string& aLastReason)
 {
   try {
@@ -247,10 +261,11 @@
     for (const json& row : message.at(1)) {
       routing::RolloutEvidence evidence;
       evidence.creation = row.at(1).get<uint64_t>();
-      evidence.target = ReadCounts(row.at(2));
-      evidence.others = ReadCounts(row.at(3));
+      evidence.age = Duration{ row.at(2).get<int64_t>() };
+      evidence.target = ReadCounts(row.at(3));
+      evidence.others = ReadCounts(row.at(4));
       aFleet.rollouts.TakeEvidence(
-        row.at(0).get<std::string>(), instance, evidence);
+        row.at(0).get<std::string>(), instance, evidence, aNow);
     }
     for (const json& row : message.at(2)) {
       aFleet.quarantine.Merge(row.at(0).get<uint64_t>(),
--- a/src/hibiscusnotch/entry/peer_message_fuzzer.cpp
+++ b/src/hibiscusnotch/entry/peer_message_fuzzer.cpp
@@ -10,7 +10,7 @@
   const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
   entry::FleetState fleet;
   std::string reason;
-  entry::ReadGossip(bytes, fleet, reason);
+  entry::ReadGossip(bytes, fleet, core::TimePoint{}, reason);
   entry::ReadLoadMessage(bytes);
   store::ReadMirrorPage(bytes);
   store::ReadMirrorBatch(bytes);
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -163,6 +163,7 @@
     if (trial.order.state == RolloutState::Ordered ||
         trial.order.state == RolloutState::Running) {
       Decay(trial, aNow);
+      trial.own.age = aNow - trial.seenAt;
       evidence.emplace(service, trial.own);
     }
   }
@@ -172,12 +173,15 @@
 void
 Rollouts::TakeEvidence(std::string_view aService,
                        std::string_view aInstance,
-                       const RolloutEvidence& aEvidence)
+                       const RolloutEvidence& aEvidence,
+                       TimePoint aNow)
 {
   const auto trial = trials_.find(aService);
   if (trial != trials_.end() &&
       trial->second.order.creation == aEvidence.creation) {
     trial->second.peers[std::string(aInstance)] = aEvidence;
+    // An instance that has just started joins the schedule of the others.
+    trial->second.seenAt = std::min(trial->second.seenAt, aNow - aEvidence.age);
   }
 }
 
