--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -193,6 +193,7 @@
   void NoteReadiness()
   {
     const bool ready = Ready();
+    // The balancer's question, once a second, is also when this is decided.
     callers_->SetClosing(!ready);
     if (ready != lastReady_) {
       lastReady_ = ready;
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -33,9 +33,10 @@
 constexpr Duration kLeastTime{ 30'000 };
 // How often a request that waits for an upstream looks again.
 constexpr Duration kWaitStep{ 40'000 };
+// A request that finds no configuration waits so long; a start takes less.
+constexpr Duration kConfigurationWait{ 900'000 };
 // A waiting request is refused after this part of its objective, or after the
-// longest wait: one step of most temporary lacks (a restart, a cold start).
-constexpr Duration kConfigurationWait{ 900'000 }; // a start takes less
+// longest wait: most temporary lacks (a restart, a cold start) end within it.
 constexpr int kWaitPart = 4;
 constexpr Duration kLongestWait{ 800'000 };
 // A cut stream looks for another upstream this long: callers leave after a gap
@@ -46,6 +47,7 @@
 constexpr Duration kRetryAfterStale{ 2'000'000 };
 constexpr int kRetryAfterPart = 4; // of the time that the caller has left
 constexpr Duration kRetryAfterElsewhere{ 50'000 }; // any other instance serves
+// A request that takes upstreams down is not wanted back soon.
 constexpr Duration kRetryAfterPoison{ 10'000'000 };
 // Sends beyond the executions allowed: refused ones do not count as such.
 constexpr uint32_t kExtraSends = 3;
