--- a/include/hibiscusnotch/entry/dialect.hpp
+++ b/include/hibiscusnotch/entry/dialect.hpp
@@ -60,7 +60,6 @@
   bool otherInstance = false; ///< The address belongs to another upstream.
   std::optional<routing::ReportedLoad> load;
   std::optional<int> confidence; ///< 0 to 100.
-  bool eventStream = false;
 };
 
 /// @brief Reads and writes the headers of one interface.
--- a/include/hibiscusnotch/routing/size_ladder.hpp
+++ b/include/hibiscusnotch/routing/size_ladder.hpp
@@ -10,7 +10,7 @@
 struct SizeLadderOptions
 {
   /// @brief Least confidence, 0 to 100, at which a smaller model's answer is
-  /// kept. Source: side-by-side runs of 30, 50 and 70 (docs/DECISIONS.md).
+  /// kept. Source: runs of 40, 50, 60 and 70 (docs/PLATFORM.md).
   int keepFrom = 50;
 };
 
