Read the peers' copies from the start on and through outages; pace what fails

Change: mirrors are waited for 0.9 s after a start; a mirror that says it is out of touch is asked again after 0.3 s, and three stand by; an instance that has mirrors probes a failing store itself at 0.8 to 3.2 s; refused roll-out writes pause 0.3 to 2.4 s and read nothing back.

--- a/include/hibiscusnotch/store/relayed_store.hpp
+++ b/include/hibiscusnotch/store/relayed_store.hpp
@@ -26,8 +26,19 @@
   std::string probeKind;
   /// @brief A mirror's copy that is older than this is not used.
   Duration oldestCopy{ 1'700'000 };
-  /// @brief A mirror that failed is not asked again for so long.
+  /// @brief A mirror that did not answer is not asked again for so long.
   Duration avoidFor{ 2'000'000 };
+  /// @brief The same for one that says that it is out of touch: asking it again
+  /// costs no call to the store.
+  Duration declinedFor{ 300'000 };
+  /// @brief Mirrors that do not answer yet are waited for after a start.
+  /// Source: instances that start together do so within 0.3 s.
+  Duration startPatience{ 900'000 };
+  /// @brief An instance that has mirrors probes a failing store itself after
+  /// this pause, which doubles up to the longest one. The first mirror, which
+  /// has none, finds out sooner that the store is back.
+  Duration probePause{ 800'000 };
+  Duration longestProbePause{ 3'200'000 };
 };
 
 struct RelayedStoreObserver
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -214,6 +214,7 @@
         parts_.fleet.configurationConfirmed =
           std::max(parts_.fleet.configurationConfirmed, aTime);
         parts_.mirrors.Confirm(aTime);
+        parts_.mirrors.SetInTouch(true); // peers that wait for it ask often
       });
     FollowUpstreams();
     Follow(
--- a/src/hibiscusnotch/entry/mirror_role.cpp
+++ b/src/hibiscusnotch/entry/mirror_role.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr std::size_t kMirrors = 2;    // the second one stands by
-constexpr std::size_t kDirectUpTo = 3; // instances of a zone
+// The first watches; each of the others takes over from those before it.
+constexpr std::size_t kMirrors = 4;
+constexpr std::size_t kDirectUpTo = 1; // instances of a zone
 
 std::size_t
 InstancesIn(const FleetState& aFleet, std::string_view aZone)
--- a/src/hibiscusnotch/entry/rollout_duty.cpp
+++ b/src/hibiscusnotch/entry/rollout_duty.cpp
@@ -19,7 +19,11 @@
 constexpr Duration kStep{ 200'000 };
 // Instances of lower rank leave the write to those before them for this long.
 constexpr Duration kRankDelay{ 300'000 };
-constexpr std::size_t kMostRanks = 6; // later ones act together; one wins
+constexpr std::size_t kMostRanks = 10; // later ones act together; one wins
+// After a call that failed, doubled with each further one. Others, whom the
+// store may still serve, write meanwhile.
+constexpr Duration kRetryPause{ 300'000 };
+constexpr Duration kLongestRetryPause{ 2'400'000 };
 
 std::string
 Name(RolloutState aState)
@@ -55,6 +59,8 @@
     RolloutState state = RolloutState::Ordered;
     TimePoint since{};
     bool inFlight = false;
+    Duration pause{ 0 }; ///< After the last call that failed.
+    TimePoint notBefore{};
   };
 
   void Step()
@@ -81,11 +87,14 @@
     if (intent.state != *wanted) {
       intent.state = *wanted;
       intent.since = aNow;
+      intent.pause = Duration::zero();
+      intent.notBefore = aNow;
     }
     const RolloutOrder& order = *parts_.fleet.rollouts.Find(aService);
     const auto delay =
       static_cast<int64_t>(std::min(kMostRanks, Rank(order))) * kRankDelay;
-    if (!intent.inFlight && aNow - intent.since >= delay) {
+    if (!intent.inFlight && aNow - intent.since >= delay &&
+        aNow >= intent.notBefore) {
       Write(aService, order, *wanted);
     }
   }
@@ -131,7 +140,11 @@
         parts_.log.Write(EventNumber::RolloutWriteFailed,
                          "service=" + aService + " fault=" +
                            std::to_string(static_cast<int>(aFault)));
-        ReadBack(aService);
+        if (aFault == StoreFault::Refused) {
+          PauseAfterFailure(aService); // nothing was done: nothing to read back
+        } else {
+          ReadBack(aService);
+        }
       });
   }
 
@@ -148,10 +161,20 @@
           Take(*aObject);
         } else if (aFault == StoreFault::Missing) {
           parts_.fleet.rollouts.Remove(aService);
+        } else {
+          PauseAfterFailure(aService);
         }
       });
   }
 
+  void PauseAfterFailure(const std::string& aService)
+  {
+    Intent& intent = intents_[aService];
+    intent.pause =
+      std::clamp(intent.pause * 2, kRetryPause, kLongestRetryPause);
+    intent.notBefore = parts_.timers.Now() + intent.pause;
+  }
+
   void Take(const Object& aObject)
   {
     std::string reason;
--- a/src/hibiscusnotch/entry/rollout_duty_test.cpp
+++ b/src/hibiscusnotch/entry/rollout_duty_test.cpp
@@ -157,3 +157,26 @@
   fixture.timers.Advance(3 * kSecond);
   CHECK(fixture.store.objects.size() == 1);
 }
+
+TEST_CASE("a store that refuses the write is not asked again at once")
+{
+  // Pattern: the store turns this instance away for seconds while it serves
+  // others, which write the same.
+  Fixture fixture;
+  fixture.Order(3);
+  fixture.timers.Advance(kSecond);
+  std::size_t answered = 0;
+  for (int step = 0; step < 50; ++step) {
+    while (answered < fixture.store.objects.size()) {
+      const auto reply = fixture.store.objects[answered++].reply;
+      reply(std::nullopt, StoreFault::Refused);
+    }
+    fixture.timers.Advance(kSecond / 5);
+  }
+  // Ten seconds with pauses of 0.3, 0.6, 1.2, 2.4, 2.4, 2.4 s.
+  CHECK(fixture.store.objects.size() >= 5);
+  CHECK(fixture.store.objects.size() <= 8);
+  for (const auto& call : fixture.store.objects) {
+    CHECK(call.verb == "status"); // nothing was done: nothing to read back
+  }
+}
--- a/src/hibiscusnotch/store/relayed_store.cpp
+++ b/src/hibiscusnotch/store/relayed_store.cpp
@@ -3,6 +3,7 @@
 #include "hibiscusnotch/relay/fetcher.hpp"
 #include "hibiscusnotch/store/mirror.hpp"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -29,6 +30,7 @@
     , options_(std::move(aOptions))
     , observer_(std::move(aObserver))
     , fetcher_(aCaller, aTimers)
+    , startedAt_(aTimers.Now())
   {
   }
 
@@ -112,7 +114,9 @@
 private:
   std::optional<MirrorPeer> ChoosePeer()
   {
-    for (MirrorPeer& peer : observer_.peers()) {
+    std::vector<MirrorPeer> peers = observer_.peers();
+    readsMirrors_ = !peers.empty();
+    for (MirrorPeer& peer : peers) {
       const auto avoided = avoidUntil_.find(peer.name);
       if (avoided == avoidUntil_.end() || timers_.Now() >= avoided->second) {
         return std::move(peer);
@@ -124,7 +128,11 @@
   /// While the store fails, one kind's calls find out when it is back.
   bool Held(const std::string& aKind) const
   {
-    return probeFailed_ && aKind != options_.probeKind;
+    if (!probeFailed_) {
+      return false;
+    }
+    return aKind != options_.probeKind ||
+           (readsMirrors_ && timers_.Now() < nextProbe_);
   }
 
   template<class Result>
@@ -142,12 +150,23 @@
       return aReply;
     }
     return [this, aReply](std::optional<Result> aResult, StoreFault aFault) {
-      probeFailed_ =
-        aFault == StoreFault::Refused || aFault == StoreFault::NoAnswer;
+      NoteProbe(aFault == StoreFault::Refused ||
+                aFault == StoreFault::NoAnswer);
       aReply(std::move(aResult), aFault);
     };
   }
 
+  void NoteProbe(bool aFailed)
+  {
+    probeFailed_ = aFailed;
+    if (!aFailed) {
+      probePause_ = options_.probePause;
+      return;
+    }
+    nextProbe_ = timers_.Now() + probePause_;
+    probePause_ = std::min(options_.longestProbePause, probePause_ * 2);
+  }
+
   template<class Result>
   void Finish(const std::string& aPeer,
               int aStatus,
@@ -161,7 +180,10 @@
       aReply(std::move(aResult), StoreFault::None);
       return;
     }
-    Avoid(aPeer, aStatus == 0);
+    if (aStatus == kOk ||
+        timers_.Now() - startedAt_ >= options_.startPatience) {
+      Avoid(aPeer, aStatus == 0);
+    }
     aReply(std::nullopt, StoreFault::SourceLost);
   }
 
@@ -172,7 +194,7 @@
     if (until > now) {
       return;
     }
-    until = now + options_.avoidFor;
+    until = now + (aUnreachable ? options_.avoidFor : options_.declinedFor);
     unreachable_[aPeer] += aUnreachable ? 1 : 0;
     observer_.onPeerLost(aPeer, unreachable_[aPeer]);
     // What else waits at that peer turns to another source now.
@@ -217,7 +239,11 @@
   std::map<std::string, uint32_t> unreachable_;
   relay::Fetcher fetcher_;
   std::map<relay::FetchId, std::string> polls_; ///< Open ones, by peer.
+  TimePoint startedAt_;
+  bool readsMirrors_ = false;
   bool probeFailed_ = false;
+  TimePoint nextProbe_{};
+  Duration probePause_ = options_.probePause;
 };
 
 } // namespace
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -9,7 +9,7 @@
 
 constexpr Duration kFirstPause{ 100'000 };
 constexpr Duration kLongestPause{ 400'000 }; // well within the shortest bound
-constexpr Duration kSourcePause{ 30'000 };   // another source is asked at once
+constexpr Duration kSourcePause{ 50'000 };   // another source is asked at once
 // Entries that lapse with an outage are restored within about this time.
 constexpr Duration kRestoreTime{ 2'500'000 };
 
