Send evidence on roll-outs through the hubs

Change: one datagram to the zone's hub carries own work, evidence and quarantined requests; the hub answers with the sums of all others; hubs exchange their zones' evidence. The tests of the former messages are replaced by those of the new one, with the same properties asked for.

--- /dev/null
+++ b/src/hibiscusnotch/entry/fleet_report_test.cpp
@@ -0,0 +1,111 @@
+#include "hibiscusnotch/entry/fleet_report.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace hibiscusnotch::entry;
+using hibiscusnotch::routing::AnswerCounts;
+using hibiscusnotch::routing::RolloutEvidence;
+
+namespace {
+
+RolloutEvidence
+MakeEvidence(std::size_t aRoutes)
+{
+  RolloutEvidence evidence;
+  evidence.creation = 5;
+  evidence.age = Duration{ 1'234'567 };
+  for (std::size_t route = 0; route < aRoutes; ++route) {
+    const std::string name = "route-" + std::to_string(route);
+    evidence.target[name] = { 12.34, 1.5 };
+    evidence.others[name] = { 99.99, 0 };
+  }
+  return evidence;
+}
+
+FleetReport
+MakeReport()
+{
+  FleetReport report;
+  report.kind = ReportKind::Others;
+  report.sender = "hub";
+  report.zone = "east";
+  report.work = { { 7, { 2, 300 } } };
+  report.evidence = { { "engine", MakeEvidence(2) } };
+  report.losses = { { 0xfedcba9876543210, 2 } };
+  return report;
+}
+
+} // namespace
+
+TEST_CASE("a report comes back as it was")
+{
+  std::string reason;
+  const auto read = ReadFleetReport(WriteFleetReport(MakeReport()), reason);
+  REQUIRE(read);
+  CHECK(read->kind == ReportKind::Others);
+  CHECK(read->sender == "hub");
+  CHECK(read->zone == "east");
+  CHECK(read->work.at(7).requests == 2);
+  CHECK(read->work.at(7).promptTokens == 300);
+  CHECK(read->losses.at(0xfedcba9876543210) == 2);
+  const RolloutEvidence& evidence = read->evidence.at("engine");
+  CHECK(evidence.creation == 5);
+  CHECK(evidence.age == Duration{ 1'234'567 });
+  CHECK(evidence.target.at("route-1").good == doctest::Approx(12.34));
+  CHECK(evidence.target.at("route-1").bad == doctest::Approx(1.5));
+  CHECK(evidence.others.at("route-0").good == doctest::Approx(99.99));
+}
+
+TEST_CASE("bytes that are no report give a reason")
+{
+  const std::string bytes = WriteFleetReport(MakeReport());
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+    std::string reason;
+    CHECK_FALSE(ReadFleetReport(bytes.substr(0, cut), reason));
+    CHECK_FALSE(reason.empty());
+  }
+  FleetReport unknown = MakeReport();
+  unknown.kind = static_cast<ReportKind>(9);
+  std::string reason;
+  CHECK_FALSE(ReadFleetReport(WriteFleetReport(unknown), reason));
+  CHECK_FALSE(reason.empty());
+}
+
+TEST_CASE("only quarantined requests are told, as many as fit")
+{
+  hibiscusnotch::core::Quarantine quarantine;
+  quarantine.CountLoss(8);
+  CHECK(HeldLosses(quarantine).empty());
+  for (uint64_t fingerprint = 100; fingerprint < 200; ++fingerprint) {
+    quarantine.CountLoss(fingerprint);
+    quarantine.CountLoss(fingerprint);
+  }
+  const LossTable losses = HeldLosses(quarantine);
+  CHECK(losses.size() >= 30);
+  CHECK(losses.size() < 100);
+  CHECK_FALSE(losses.contains(8));
+}
+
+TEST_CASE("a member of a zone of 75 instances stays within the control budget")
+{
+  // Two roll-outs are open, and the zone has 120 upstreams.
+  WorkTable work;
+  for (uint32_t upstream = 0; upstream < 120; ++upstream) {
+    work[upstream * 35'000'000U] = { 3, 12'000 };
+  }
+  const EvidenceTable evidence = { { "engine", MakeEvidence(5) },
+                                   { "orders", MakeEvidence(2) } };
+  constexpr double kBudget = 3000;       // bytes a second for control, a node
+  constexpr double kSecondsPerSum = 0.6; // with that many upstreams
+  const std::string sums = WriteFleetReport(
+    { ReportKind::Others, "front-macon-100", "macon", work, evidence, {} });
+  const std::string own = WriteFleetReport({ ReportKind::Own,
+                                             "front-macon-100",
+                                             "macon",
+                                             { { 1, { 1, 9000 } } },
+                                             {},
+                                             {} });
+  // Most of the budget is left for mirrors.
+  CHECK(sums.size() / kSecondsPerSum < kBudget * 0.85);
+  CHECK(own.size() / kSecondsPerSum < kBudget * 0.1);
+}
--- a/src/hibiscusnotch/entry/load_exchange_test.cpp
+++ b/src/hibiscusnotch/entry/load_exchange_test.cpp
@@ -1,7 +1,5 @@
 #include "hibiscusnotch/entry/load_exchange.hpp"
 
-#include "hibiscusnotch/entry/gossip.hpp"
-
 #include <doctest/doctest.h>
 
 using namespace hibiscusnotch::entry;
@@ -64,43 +62,6 @@
         doctest::Approx(1));
 }
 
-TEST_CASE("load messages come back as they were, other bytes are no message")
-{
-  const LoadMessage message{ LoadMessageKind::Sums,
-                             "hub",
-                             { { 7, { 2, 300 } } } };
-  const std::string bytes = WriteLoadMessage(message);
-  const auto read = ReadLoadMessage(bytes);
-  REQUIRE(read);
-  CHECK(read->kind == LoadMessageKind::Sums);
-  CHECK(read->sender == "hub");
-  CHECK(read->work.at(7).promptTokens == 300);
-  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
-    CHECK_FALSE(ReadLoadMessage(bytes.substr(0, cut)));
-  }
-  FleetState fleet;
-  CHECK_FALSE(ReadLoadMessage(WriteGossip("peer", fleet, kNow)));
-  std::string reason;
-  CHECK_FALSE(ReadGossip(bytes, fleet, kNow, reason));
-}
-
-TEST_CASE("a report for a zone of 75 instances fits into the control budget")
-{
-  WorkTable work;
-  for (uint32_t upstream = 0; upstream < 120; ++upstream) {
-    work[upstream * 35'000'000U] = { 3, 12'000 };
-  }
-  const std::string bytes =
-    WriteLoadMessage({ LoadMessageKind::Sums, "front-macon-100", work });
-  constexpr double kBudget = 3000;       // bytes a second for control, a node
-  constexpr double kSecondsPerSum = 0.6; // with that many upstreams
-  // Most of the budget is left for mirrors and evidence.
-  CHECK(bytes.size() / kSecondsPerSum < kBudget * 0.75);
-  const std::string report = WriteLoadMessage(
-    { LoadMessageKind::Report, "front-macon-100", { { 1, { 1, 9000 } } } });
-  CHECK(report.size() / kSecondsPerSum < kBudget * 0.1);
-}
-
 TEST_CASE("all instances of a zone name the same hub")
 {
   FleetState fleet;
--- a/src/hibiscusnotch/entry/peer_message_fuzzer.cpp
+++ b/src/hibiscusnotch/entry/peer_message_fuzzer.cpp
@@ -1,4 +1,4 @@
-#include "hibiscusnotch/entry/gossip.hpp"
+#include "hibiscusnotch/entry/fleet_report.hpp"
 #include "hibiscusnotch/store/mirror.hpp"
 
 using namespace hibiscusnotch;
@@ -8,10 +8,8 @@
 LLVMFuzzerTestOneInput(const uint8_t* aData, size_t aSize)
 {
   const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
-  entry::FleetState fleet;
   std::string reason;
-  entry::ReadGossip(bytes, fleet, core::TimePoint{}, reason);
-  entry::ReadLoadMessage(bytes);
+  entry::ReadFleetReport(bytes, reason);
   store::ReadMirrorPage(bytes);
   store::ReadMirrorBatch(bytes);
   store::ReadMirrorTarget(bytes);
