Keep the model of a placement request alive while it is used

Cause: PlacementRequest.model viewed a temporary string, so the home of a prompt's shared part could depend on freed memory.

--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -87,7 +87,8 @@
     fleet_.rollouts.RuleFor(service, VersionKey(aExchange), timers_.Now());
   routing::PlacementRequest wanted;
   wanted.service = service;
-  wanted.model = ModelOf(aExchange, aSize);
+  const std::string model = ModelOf(aExchange, aSize);
+  wanted.model = model;
   wanted.onlyVersion = rule.only;
   wanted.exceptVersion = rule.except;
   wanted.tried = aExchange.tried;
