--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -77,6 +77,34 @@
     senders);
 }
 
+double
+AttemptPlanner::LoadOf(std::string_view aService) const
+{
+  struct Sum
+  {
+    double requests = 0;
+    double slots = 0;
+  };
+  Sum zone;
+  Sum all;
+  const TimePoint now = timers_.Now();
+  for (const auto& [id, row] : fleet_.upstreams.Rows()) {
+    if (row.entry.service != aService || row.gone || row.entry.leaving ||
+        now < row.suspectUntil) {
+      continue;
+    }
+    const double requests = routing::UpstreamTable::Load(row, now);
+    all.requests += requests;
+    all.slots += row.entry.slots;
+    if (row.entry.zone == options_.zone) {
+      zone.requests += requests;
+      zone.slots += row.entry.slots;
+    }
+  }
+  const Sum& sum = zone.slots > 0 ? zone : all;
+  return sum.slots > 0 ? sum.requests / sum.slots : 0;
+}
+
 std::optional<core::UpstreamId>
 AttemptPlanner::Choose(const Exchange& aExchange,
                        std::size_t aSize,
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace hibiscusnotch::entry {
 
@@ -27,6 +28,11 @@
                                          std::size_t aSize,
                                          core::Reason& aLastReason) const;
 
+  /// @brief Running and waiting requests for each slot of the service's
+  /// upstreams in this zone, whose load is known best; of all, where the zone
+  /// has none.
+  double LoadOf(std::string_view aService) const;
+
 private:
   double ColdSendsPerSecond(const routing::Upstream& aUpstream) const;
 
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -6,6 +6,7 @@
 #include "hibiscusnotch/routing/crash_blame.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <unordered_map>
 
@@ -487,10 +488,12 @@
   bool Escalate(Exchange& aExchange)
   {
     Attempt& attempt = *aExchange.attempt;
+    const double load = planner_.LoadOf(attempt.service);
     const auto next = routing::NextSize(options_.sizes,
                                         aExchange.route.models.size(),
                                         aExchange.size,
-                                        attempt.facts.confidence);
+                                        attempt.facts.confidence,
+                                        load);
     if (!next || !aExchange.route.Repeatable() ||
         aExchange.runs >= aExchange.route.maxAttempts) {
       return false;
@@ -503,9 +506,10 @@
       return false;
     }
     log_.Write(EventNumber::AnswerEscalated,
-               Describe(aExchange) + " from=" + attempt.model +
-                 " confidence=" + std::to_string(*attempt.facts.confidence) +
-                 " keep_from=" + std::to_string(options_.sizes.keepFrom));
+               Describe(aExchange) + " from=" + attempt.model + " confidence=" +
+                 std::to_string(*attempt.facts.confidence) + " keep_from=" +
+                 std::to_string(routing::KeepFrom(options_.sizes, load)) +
+                 " load_percent=" + std::to_string(std::lround(load * 100)));
     EndAttempt(aExchange);
     aExchange.size = *next;
     Send(aExchange, *chosen);
--- a/src/hibiscusnotch/routing/size_ladder.cpp
+++ b/src/hibiscusnotch/routing/size_ladder.cpp
@@ -1,5 +1,8 @@
 #include "hibiscusnotch/routing/size_ladder.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace hibiscusnotch::routing {
 
 std::size_t
@@ -8,13 +11,26 @@
   return 0;
 }
 
+int
+KeepFrom(const SizeLadderOptions& aOptions, double aLoad)
+{
+  const double full =
+    std::clamp((aLoad - aOptions.roomyLoad) /
+                 std::max(0.01, aOptions.fullLoad - aOptions.roomyLoad),
+               0.0,
+               1.0);
+  return static_cast<int>(
+    std::lround(std::lerp(aOptions.keepFrom, aOptions.keepFromLoaded, full)));
+}
+
 std::optional<std::size_t>
 NextSize(const SizeLadderOptions& aOptions,
          std::size_t aSizes,
          std::size_t aCurrent,
-         std::optional<int> aConfidence)
+         std::optional<int> aConfidence,
+         double aLoad)
 {
-  if (!aConfidence || *aConfidence >= aOptions.keepFrom ||
+  if (!aConfidence || *aConfidence >= KeepFrom(aOptions, aLoad) ||
       aCurrent + 1 >= aSizes) {
     return std::nullopt;
   }
