Keep sessions under way on their version through a trial

Change: an instance remembers the version of each session for the session's gap; the few that a trial would move are told to all instances through the hubs, and the trial starts after 1.5 s. Fleets from 40 instances on try on a smaller share, agreed on like the schedule, so that a member's datagram stays within its budget.

--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -25,6 +25,8 @@
   core::Endpoint peerEndpoint; ///< Datagrams over UDP, mirrors over TCP.
   /// @brief From the signal to the end of the process.
   Duration grace{ 8'000'000 };
+  /// @brief Requests of a session follow each other within it.
+  Duration sessionGap{ 5'000'000 };
   RouterOptions router;
   FleetSyncOptions sync;
 };
--- a/include/hibiscusnotch/entry/fleet_report.hpp
+++ b/include/hibiscusnotch/entry/fleet_report.hpp
@@ -29,8 +29,8 @@
   std::string sender; ///< Name of the instance.
   std::string zone;   ///< Of the sender.
   WorkTable work;
-  EvidenceTable evidence; ///< Counts are kept to a hundredth.
-  LossTable losses;       ///< Of quarantined requests only.
+  RolloutNews news; ///< Counts are kept to a hundredth.
+  LossTable losses; ///< Of quarantined requests only.
 };
 
 /// @brief CBOR, by position.
--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -4,11 +4,14 @@
 
 #include "hibiscusnotch/core/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hibiscusnotch::routing {
 
@@ -55,16 +58,30 @@
 {
   uint64_t creation = 0; ///< Of the order it belongs to.
   Duration age{ 0 };     ///< Since the instance first saw the order.
+  double trialShare = 1; ///< Of the sessions that a trial moves.
   /// @brief By route: answers of the target and of the other versions.
   std::map<std::string, AnswerCounts> target;
   std::map<std::string, AnswerCounts> others;
 };
 
+/// @brief Short hashes of sessions, as instances exchange them.
+using SessionSet = std::set<uint32_t>;
+
 /// @brief All roll-outs that this instance knows.
 class Rollouts
 {
 public:
-  void Apply(const RolloutOrder& aOrder, TimePoint aNow);
+  /// @param aSessionGap Requests of a session follow each other within it.
+  explicit Rollouts(Duration aSessionGap = Duration{ 5'000'000 })
+    : sessionGap_(aSessionGap)
+  {
+  }
+
+  /// @param aInstances How many take requests; the trial of a large fleet
+  /// needs a smaller share.
+  void Apply(const RolloutOrder& aOrder,
+             TimePoint aNow,
+             std::size_t aInstances = 1);
   void Remove(std::string_view aService);
 
   /// @brief Where a request may go now.
@@ -73,6 +90,20 @@
                       uint64_t aStableHash,
                       TimePoint aNow) const;
 
+  /// @brief Notes that a session's request goes to, or ends at, a version.
+  void CountSession(std::string_view aService,
+                    uint64_t aStableHash,
+                    std::string_view aVersion,
+                    TimePoint aNow);
+  /// @brief Sessions of this instance that a trial would move to the target,
+  /// but that must stay where they are. Peers may get their next request.
+  SessionSet HeldSessions(TimePoint aNow);
+  /// @brief The other instances' held sessions; replaces what was told before.
+  void TakeHeldSessions(SessionSet aSessions)
+  {
+    peersHeld_ = std::move(aSessions);
+  }
+
   /// @brief Takes in the outcome of one execution.
   /// @param aLatency Time to the first output; compared within a group.
   /// @param aGroup Answers whose latencies are alike.
@@ -110,17 +141,36 @@
     RolloutOrder order;
     TimePoint seenAt{};
     TimePoint decayedAt{};
+    double share = 0; ///< Of the sessions, through the first half.
     RolloutEvidence own;
     std::map<std::string, RolloutEvidence, std::less<>> peers;
     std::map<std::string, Latency, std::less<>> othersLatency;
     bool bad = false;
   };
 
+  struct Session
+  {
+    std::string version;
+    TimePoint at{}; ///< When a request last was sent, or ended.
+  };
+  /// By the service and the session's hash.
+  using SessionKey = std::pair<std::string, uint64_t>;
+
+  void ForgetEndedSessions(TimePoint aNow);
+  /// The version that the session is on, or nothing where none is known.
+  const std::string* VersionOf(std::string_view aService,
+                               uint64_t aStableHash,
+                               TimePoint aNow) const;
+  static bool SessionsStay(const Trial& aTrial, TimePoint aNow);
   static double ExposureAt(const Trial& aTrial, TimePoint aNow);
   static void Decay(Trial& aTrial, TimePoint aNow);
   static bool LooksBad(const Trial& aTrial);
 
+  Duration sessionGap_;
   std::map<std::string, Trial, std::less<>> trials_;
+  std::map<SessionKey, Session> sessions_;
+  SessionSet peersHeld_;
+  TimePoint sweptAt_{};
 };
 
 } // namespace hibiscusnotch::routing
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 AttemptPlanner::AttemptPlanner(const RouterOptions& aOptions,
-                               const FleetState& aFleet,
+                               FleetState& aFleet,
                                const relay::Timers& aTimers)
   : options_(aOptions)
   , fleet_(aFleet)
@@ -77,6 +77,18 @@
     senders);
 }
 
+void
+AttemptPlanner::CountSession(const Exchange& aExchange,
+                             const Attempt& aAttempt) const
+{
+  if (!aExchange.facts.session.empty()) {
+    fleet_.rollouts.CountSession(aAttempt.service,
+                                 VersionKey(aExchange),
+                                 aAttempt.softwareVersion,
+                                 timers_.Now());
+  }
+}
+
 double
 AttemptPlanner::LoadOf(std::string_view aService) const
 {
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -17,7 +17,7 @@
 {
 public:
   AttemptPlanner(const RouterOptions& aOptions,
-                 const FleetState& aFleet,
+                 FleetState& aFleet,
                  const relay::Timers& aTimers);
 
   /// @brief The service of the route's split that the request belongs to.
@@ -33,11 +33,14 @@
   /// has none.
   double LoadOf(std::string_view aService) const;
 
+  /// @brief Notes the version that the request's session is on.
+  void CountSession(const Exchange& aExchange, const Attempt& aAttempt) const;
+
 private:
   double ColdSendsPerSecond(const routing::Upstream& aUpstream) const;
 
   const RouterOptions& options_;
-  const FleetState& fleet_;
+  FleetState& fleet_;
   const relay::Timers& timers_;
 };
 
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -103,6 +103,7 @@
     , duty_(MakeRolloutDuty(options_.instanceName,
                             { *store_, *timers_, aParts.codec, fleet_, log_ }))
   {
+    fleet_.rollouts = routing::Rollouts(options_.sessionGap);
     router_->SetListener(*callers_);
     log_.Write(EventNumber::InstanceStarted,
                "zone=" + options_.router.zone +
--- a/src/hibiscusnotch/entry/evidence_exchange.cpp
+++ b/src/hibiscusnotch/entry/evidence_exchange.cpp
@@ -22,10 +22,12 @@
 } // namespace
 
 void
-Merge(EvidenceTable& aSum, const EvidenceTable& aPart)
+Merge(RolloutNews& aSum, const RolloutNews& aPart)
 {
-  for (const auto& [service, part] : aPart) {
-    routing::RolloutEvidence& sum = aSum[service];
+  aSum.heldSessions.insert(aPart.heldSessions.begin(),
+                           aPart.heldSessions.end());
+  for (const auto& [service, part] : aPart.evidence) {
+    routing::RolloutEvidence& sum = aSum.evidence[service];
     if (sum.creation > part.creation) {
       continue;
     }
@@ -34,77 +36,82 @@
       continue;
     }
     sum.age = std::max(sum.age, part.age);
+    sum.trialShare = std::min(sum.trialShare, part.trialShare);
     Add(sum.target, part.target);
     Add(sum.others, part.others);
   }
 }
 
 void
-EvidenceHub::Take(Reports& aReports,
-                  std::string_view aSender,
-                  EvidenceTable aEvidence,
-                  TimePoint aNow)
+RolloutHub::Take(Reports& aReports,
+                 std::string_view aSender,
+                 RolloutNews aNews,
+                 TimePoint aNow)
 {
   std::erase_if(aReports, [aNow](const auto& aRow) {
     return aNow - aRow.second.at > kReportAge;
   });
-  aReports[std::string(aSender)] = { std::move(aEvidence), aNow };
+  aReports[std::string(aSender)] = { std::move(aNews), aNow };
 }
 
 void
-EvidenceHub::TakeMember(std::string_view aInstance,
-                        EvidenceTable aEvidence,
-                        TimePoint aNow)
+RolloutHub::TakeMember(std::string_view aInstance,
+                       RolloutNews aNews,
+                       TimePoint aNow)
 {
-  Take(members_, aInstance, std::move(aEvidence), aNow);
+  Take(members_, aInstance, std::move(aNews), aNow);
 }
 
 void
-EvidenceHub::TakeZone(std::string_view aZone,
-                      EvidenceTable aEvidence,
-                      TimePoint aNow)
+RolloutHub::TakeZone(std::string_view aZone, RolloutNews aNews, TimePoint aNow)
 {
-  Take(zones_, aZone, std::move(aEvidence), aNow);
+  Take(zones_, aZone, std::move(aNews), aNow);
 }
 
 void
-EvidenceHub::AddAll(const Reports& aReports,
-                    std::string_view aExcept,
-                    TimePoint aNow,
-                    EvidenceTable& aSum)
+RolloutHub::AddAll(const Reports& aReports,
+                   std::string_view aExcept,
+                   TimePoint aNow,
+                   RolloutNews& aSum)
 {
   for (const auto& [sender, report] : aReports) {
     if (sender != aExcept && aNow - report.at <= kReportAge) {
-      Merge(aSum, report.evidence);
+      Merge(aSum, report.news);
     }
   }
 }
 
-EvidenceTable
-EvidenceHub::SumOfMembers(TimePoint aNow) const
+RolloutNews
+RolloutHub::SumOfMembers(TimePoint aNow) const
 {
-  EvidenceTable sum;
+  RolloutNews sum;
   AddAll(members_, {}, aNow, sum);
   return sum;
 }
 
-EvidenceTable
-EvidenceHub::SumWithout(std::string_view aInstance, TimePoint aNow) const
+RolloutNews
+RolloutHub::SumWithout(std::string_view aInstance, TimePoint aNow) const
 {
-  EvidenceTable sum;
+  RolloutNews sum;
   AddAll(members_, aInstance, aNow, sum);
   AddAll(zones_, {}, aNow, sum);
   return sum;
 }
 
+RolloutNews
+OwnNews(FleetState& aFleet, TimePoint aNow)
+{
+  return { aFleet.rollouts.OwnEvidence(aNow),
+           aFleet.rollouts.HeldSessions(aNow) };
+}
+
 void
-ApplyOthersEvidence(const EvidenceTable& aOthers,
-                    FleetState& aFleet,
-                    TimePoint aNow)
+ApplyOthersNews(const RolloutNews& aOthers, FleetState& aFleet, TimePoint aNow)
 {
-  for (const auto& [service, evidence] : aOthers) {
+  for (const auto& [service, evidence] : aOthers.evidence) {
     aFleet.rollouts.TakeEvidence(service, kOthers, evidence, aNow);
   }
+  aFleet.rollouts.TakeHeldSessions(aOthers.heldSessions);
 }
 
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaxFingerprints = 32; // keeps a message in one packet
 constexpr double kCountUnits = 100;          // of one answer
+constexpr double kShareUnits = 1e6;          // of all sessions
+constexpr uint32_t kTokenUnit = 256; // what placement tells apart is coarser
 
 json
 WriteCounts(const std::map<std::string, routing::AnswerCounts>& aCounts)
@@ -45,6 +47,7 @@
     rows.push_back({ service,
                      evidence.creation,
                      evidence.age.count(),
+                     std::lround(evidence.trialShare * kShareUnits),
                      WriteCounts(evidence.target),
                      WriteCounts(evidence.others) });
   }
@@ -59,12 +62,27 @@
     routing::RolloutEvidence& evidence = table[row.at(0).get<std::string>()];
     evidence.creation = row.at(1).get<uint64_t>();
     evidence.age = Duration{ row.at(2).get<int64_t>() };
-    evidence.target = ReadCounts(row.at(3));
-    evidence.others = ReadCounts(row.at(4));
+    evidence.trialShare = row.at(3).get<double>() / kShareUnits;
+    evidence.target = ReadCounts(row.at(4));
+    evidence.others = ReadCounts(row.at(5));
   }
   return table;
 }
 
+/// Three numbers for each upstream, one after the other.
+WorkTable
+ReadWork(const json& aNumbers)
+{
+  WorkTable work;
+  for (std::size_t at = 0; at < aNumbers.size(); at += 3) {
+    work[aNumbers.at(at).get<uint32_t>()] = {
+      aNumbers.at(at + 1).get<uint32_t>(),
+      aNumbers.at(at + 2).get<uint32_t>() * kTokenUnit
+    };
+  }
+  return work;
+}
+
 ReportKind
 ReadKind(const json& aKind)
 {
@@ -83,7 +101,9 @@
 {
   json work = json::array();
   for (const auto& [upstream, load] : aReport.work) {
-    work.push_back({ upstream, load.requests, load.promptTokens });
+    work.push_back(upstream);
+    work.push_back(load.requests);
+    work.push_back((load.promptTokens + kTokenUnit - 1) / kTokenUnit);
   }
   json losses = json::array();
   for (const auto& [fingerprint, count] : aReport.losses) {
@@ -94,7 +114,8 @@
                               aReport.sender,
                               aReport.zone,
                               work,
-                              WriteEvidence(aReport.evidence),
+                              WriteEvidence(aReport.news.evidence),
+                              aReport.news.heldSessions,
                               losses }),
                 bytes);
   return bytes;
@@ -109,12 +130,10 @@
     report.kind = ReadKind(message.at(0));
     report.sender = message.at(1).get<std::string>();
     report.zone = message.at(2).get<std::string>();
-    for (const json& row : message.at(3)) {
-      report.work[row.at(0).get<uint32_t>()] = { row.at(1).get<uint32_t>(),
-                                                 row.at(2).get<uint32_t>() };
-    }
-    report.evidence = ReadEvidence(message.at(4));
-    for (const json& row : message.at(5)) {
+    report.work = ReadWork(message.at(3));
+    report.news.evidence = ReadEvidence(message.at(4));
+    report.news.heldSessions = message.at(5).get<routing::SessionSet>();
+    for (const json& row : message.at(6)) {
       report.losses[row.at(0).get<uint64_t>()] = row.at(1).get<uint32_t>();
     }
     return report;
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -316,7 +316,8 @@
       "service=" + order->service + " target=" + order->target +
         " state=" + std::to_string(static_cast<int>(order->state)) +
         " revision=" + std::to_string(order->revision));
-    parts_.fleet.rollouts.Apply(*order, parts_.timers.Now());
+    parts_.fleet.rollouts.Apply(
+      *order, parts_.timers.Now(), parts_.fleet.InstanceCount());
   }
 
   void SetZone(const std::string& aZone, bool aOut)
--- a/src/hibiscusnotch/entry/gossip.cpp
+++ b/src/hibiscusnotch/entry/gossip.cpp
@@ -62,19 +62,15 @@
 
   FleetReport OwnReport(TimePoint aNow)
   {
-    return { ReportKind::Own,
-             options_.instanceName,
-             options_.zone,
-             OwnWork(fleet_),
-             fleet_.rollouts.OwnEvidence(aNow),
-             HeldLosses(fleet_.quarantine) };
+    return { ReportKind::Own,       options_.instanceName,
+             options_.zone,         OwnWork(fleet_),
+             OwnNews(fleet_, aNow), HeldLosses(fleet_.quarantine) };
   }
 
   void TakeOwnReport(TimePoint aNow)
   {
     work_.Take(options_.instanceName, OwnWork(fleet_), aNow);
-    evidence_.TakeMember(
-      options_.instanceName, fleet_.rollouts.OwnEvidence(aNow), aNow);
+    rollouts_.TakeMember(options_.instanceName, OwnNews(fleet_, aNow), aNow);
   }
 
   void ServeAsHub(TimePoint aNow)
@@ -82,8 +78,8 @@
     TakeOwnReport(aNow);
     ApplyOthersWork(
       work_.SumWithout(options_.instanceName, aNow), fleet_, aNow);
-    ApplyOthersEvidence(
-      evidence_.SumWithout(options_.instanceName, aNow), fleet_, aNow);
+    ApplyOthersNews(
+      rollouts_.SumWithout(options_.instanceName, aNow), fleet_, aNow);
     sumsAt_ = aNow;
     if (!fleet_.rollouts.AnyOpen() && !fleet_.quarantine.AnyHeld()) {
       return; // other zones' work is not exchanged
@@ -93,7 +89,7 @@
                          options_.instanceName,
                          options_.zone,
                          {},
-                         evidence_.SumOfMembers(aNow),
+                         rollouts_.SumOfMembers(aNow),
                          HeldLosses(fleet_.quarantine) });
     for (const std::string& peer : HubsOfOtherZones()) {
       SendTo(fleet_.instances[peer].endpoint, message);
@@ -137,16 +133,16 @@
     switch (aReport.kind) {
       case ReportKind::Own:
         work_.Take(aReport.sender, aReport.work, now);
-        evidence_.TakeMember(aReport.sender, aReport.evidence, now);
+        rollouts_.TakeMember(aReport.sender, aReport.news, now);
         AnswerMember(aReport.sender, aSender, now);
         return;
       case ReportKind::Others:
         sumsAt_ = now;
         ApplyOthersWork(aReport.work, fleet_, now);
-        ApplyOthersEvidence(aReport.evidence, fleet_, now);
+        ApplyOthersNews(aReport.news, fleet_, now);
         return;
       case ReportKind::ZoneSums:
-        evidence_.TakeZone(aReport.zone, aReport.evidence, now);
+        rollouts_.TakeZone(aReport.zone, aReport.news, now);
         return;
     }
   }
@@ -161,7 +157,7 @@
                          options_.instanceName,
                          options_.zone,
                          work_.SumWithout(aMember, aNow),
-                         evidence_.SumWithout(aMember, aNow),
+                         rollouts_.SumWithout(aMember, aNow),
                          HeldLosses(fleet_.quarantine) });
     boost::system::error_code error;
     // A lost sum is followed by the next one.
@@ -220,7 +216,7 @@
   EventLog& log_;
   udp::socket socket_;
   LoadHub work_;
-  EvidenceHub evidence_;
+  RolloutHub rollouts_;
   std::size_t hubRank_ = 0;
   TimePoint sumsAt_{};
 };
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -359,13 +359,16 @@
     ++aExchange.sends;
     aExchange.tried.push_back(aUpstream);
     log_.Write(EventNumber::AttemptSent,
-               Describe(aExchange) + " to=" + attempt.upstreamName + " model=" +
-                 attempt.model + " left_ms=" + Milliseconds(facts.timeLeft) +
+               Describe(aExchange) + " to=" + attempt.upstreamName +
+                 " software=" + attempt.softwareVersion + " session=" +
+                 aExchange.facts.session + " model=" + attempt.model +
+                 " left_ms=" + Milliseconds(facts.timeLeft) +
                  " own_load=" + std::to_string(row.inFlight) + " load=" +
                  std::to_string(
                    static_cast<int>(routing::UpstreamTable::Load(row, now))) +
                  ConfigurationAge());
     fleet_.upstreams.CountSend(aUpstream, attempt.promptTokens, now);
+    planner_.CountSession(aExchange, attempt);
     const ExchangeId id = aExchange.id;
     relay::CallObserver observer;
     observer.onHead = [this, id](const relay::ResponseHead& aHead) {
@@ -587,6 +590,7 @@
     timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
     StopReadingPrompt(attempt);
+    planner_.CountSession(aExchange, attempt);
     fleet_.upstreams.CountEnd(attempt.upstream);
     caller_.Cancel(attempt.call);
     aExchange.attempt.reset();
--- a/src/hibiscusnotch/entry/rollout_duty.cpp
+++ b/src/hibiscusnotch/entry/rollout_duty.cpp
@@ -179,7 +179,8 @@
   {
     std::string reason;
     if (const auto order = parts_.codec.ReadRollout(aObject, reason)) {
-      parts_.fleet.rollouts.Apply(*order, parts_.timers.Now());
+      parts_.fleet.rollouts.Apply(
+        *order, parts_.timers.Now(), parts_.fleet.InstanceCount());
     }
   }
 
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -9,7 +9,16 @@
 
 // The schedule, in parts of the order's duration. Sessions stay where they
 // are through the first half, so the share grows only after it.
-constexpr double kTrialShare = 0.06; // of requests; the bound is 0.12 and more
+constexpr double kTrialShare = 0.06; // of sessions; the bound is 0.12 and more
+// The share is halved with each doubling of the fleet from here on: evidence
+// needs a number of requests, and each held session is told to all.
+constexpr std::size_t kSmallFleet = 20;
+// The trial waits until instances have told each other which sessions stay;
+// they do so five times a second.
+constexpr Duration kTrialDelay{ 1'500'000 };
+constexpr Duration kSweepStep{ 1'000'000 }; // of sessions that have ended
+// For the time between the end of an answer here and at the caller.
+constexpr Duration kSessionMargin{ 500'000 };
 constexpr double kGrowFrom = 0.52;
 constexpr double kGrowShare = 0.4;
 constexpr double kFullFrom = 0.6;
@@ -44,16 +53,52 @@
   aSum.bad += aPart.bad;
 }
 
+/// How much of the order's duration is over; above 1 after its deadline.
+double
+PartOf(const RolloutOrder& aOrder, TimePoint aSeenAt, TimePoint aNow)
+{
+  return core::Seconds(aNow - aSeenAt) /
+         std::max(0.001, core::Seconds(aOrder.duration));
+}
+
+double
+TrialShare(std::size_t aInstances)
+{
+  double share = kTrialShare;
+  for (; aInstances >= 2 * kSmallFleet; aInstances /= 2) {
+    share /= 2;
+  }
+  return share;
+}
+
+/// A hash as a number from 0 to 1.
+double
+Draw(uint64_t aStableHash)
+{
+  constexpr double kHashRange = 18446744073709551616.0; // 2 to the 64th
+  return static_cast<double>(aStableHash) / kHashRange;
+}
+
+/// The low half: the high bits of all held sessions are alike.
+uint32_t
+ShortHash(uint64_t aStableHash)
+{
+  return static_cast<uint32_t>(aStableHash);
+}
+
 } // namespace
 
 void
-Rollouts::Apply(const RolloutOrder& aOrder, TimePoint aNow)
+Rollouts::Apply(const RolloutOrder& aOrder,
+                TimePoint aNow,
+                std::size_t aInstances)
 {
   Trial& trial = trials_[aOrder.service];
   if (trial.order.creation != aOrder.creation) {
     trial = Trial{};
     trial.seenAt = aNow;
     trial.decayedAt = aNow;
+    trial.share = TrialShare(aInstances);
     trial.own.creation = aOrder.creation;
   } else if (trial.order.revision > aOrder.revision) {
     return;
@@ -73,10 +118,12 @@
 double
 Rollouts::ExposureAt(const Trial& aTrial, TimePoint aNow)
 {
-  const double part = core::Seconds(aNow - aTrial.seenAt) /
-                      std::max(0.001, core::Seconds(aTrial.order.duration));
+  if (aNow - aTrial.seenAt < kTrialDelay) {
+    return 0;
+  }
+  const double part = PartOf(aTrial.order, aTrial.seenAt, aNow);
   if (part < kGrowFrom) {
-    return kTrialShare;
+    return aTrial.share;
   }
   return part < kFullFrom ? kGrowShare : 1.0;
 }
@@ -98,10 +145,78 @@
   if (trial.order.state == RolloutState::RolledBack || trial.bad) {
     return { "", target };
   }
-  constexpr double kHashRange = 18446744073709551616.0; // 2 to the 64th
-  const double draw = static_cast<double>(aStableHash) / kHashRange;
-  return draw < ExposureAt(trial, aNow) ? VersionRule{ target, "" }
-                                        : VersionRule{ "", target };
+  if (SessionsStay(trial, aNow)) {
+    if (const std::string* version = VersionOf(aService, aStableHash, aNow)) {
+      return *version == target ? VersionRule{ target, "" }
+                                : VersionRule{ "", target };
+    }
+    if (peersHeld_.contains(ShortHash(aStableHash))) {
+      return { "", target };
+    }
+  }
+  return Draw(aStableHash) < ExposureAt(trial, aNow)
+           ? VersionRule{ target, "" }
+           : VersionRule{ "", target };
+}
+
+bool
+Rollouts::SessionsStay(const Trial& aTrial, TimePoint aNow)
+{
+  return PartOf(aTrial.order, aTrial.seenAt, aNow) < kGrowFrom;
+}
+
+void
+Rollouts::CountSession(std::string_view aService,
+                       uint64_t aStableHash,
+                       std::string_view aVersion,
+                       TimePoint aNow)
+{
+  ForgetEndedSessions(aNow);
+  sessions_[{ std::string(aService), aStableHash }] = { std::string(aVersion),
+                                                        aNow };
+}
+
+void
+Rollouts::ForgetEndedSessions(TimePoint aNow)
+{
+  if (aNow - sweptAt_ < kSweepStep) {
+    return;
+  }
+  sweptAt_ = aNow;
+  std::erase_if(sessions_, [this, aNow](const auto& aRow) {
+    return aNow - aRow.second.at > sessionGap_ + kSessionMargin;
+  });
+}
+
+const std::string*
+Rollouts::VersionOf(std::string_view aService,
+                    uint64_t aStableHash,
+                    TimePoint aNow) const
+{
+  const auto session =
+    sessions_.find(SessionKey{ std::string(aService), aStableHash });
+  if (session == sessions_.end() ||
+      aNow - session->second.at > sessionGap_ + kSessionMargin) {
+    return nullptr;
+  }
+  return &session->second.version;
+}
+
+SessionSet
+Rollouts::HeldSessions(TimePoint aNow)
+{
+  ForgetEndedSessions(aNow);
+  SessionSet held;
+  for (const auto& [key, session] : sessions_) {
+    const auto& [service, hash] = key;
+    const auto trial = trials_.find(service);
+    if (trial != trials_.end() && SessionsStay(trial->second, aNow) &&
+        Draw(hash) < trial->second.share &&
+        session.version != trial->second.order.target) {
+      held.insert(ShortHash(hash));
+    }
+  }
+  return held;
 }
 
 void
@@ -164,6 +279,7 @@
         trial.order.state == RolloutState::Running) {
       Decay(trial, aNow);
       trial.own.age = aNow - trial.seenAt;
+      trial.own.trialShare = trial.share;
       evidence.emplace(service, trial.own);
     }
   }
@@ -180,8 +296,10 @@
   if (trial != trials_.end() &&
       trial->second.order.creation == aEvidence.creation) {
     trial->second.peers[std::string(aInstance)] = aEvidence;
-    // An instance that has just started joins the schedule of the others.
+    // An instance that has just started joins the schedule of the others, and
+    // instances that count the fleet differently agree on one share.
     trial->second.seenAt = std::min(trial->second.seenAt, aNow - aEvidence.age);
+    trial->second.share = std::min(trial->second.share, aEvidence.trialShare);
   }
 }
 
@@ -227,9 +345,7 @@
   if (trial.bad) {
     return RolloutState::RolledBack;
   }
-  const double part = core::Seconds(aNow - trial.seenAt) /
-                      std::max(0.001, core::Seconds(trial.order.duration));
-  if (part >= kSucceedFrom) {
+  if (PartOf(trial.order, trial.seenAt, aNow) >= kSucceedFrom) {
     return RolloutState::Succeeded;
   }
   return trial.order.state == RolloutState::Ordered
