--- a/include/hibiscusnotch/routing/configuration.hpp
+++ b/include/hibiscusnotch/routing/configuration.hpp
@@ -39,9 +39,8 @@
   std::string pathPrefix; ///< Starts and ends with a slash.
   Repeatability repeatability = Repeatability::AtMostOnce;
   Duration timeout{ 0 };
-  Duration objective{ 0 };    ///< Time to a fully credited answer.
-  Duration gapObjective{ 0 }; ///< Longest pause between events.
-  int priority = 0;           ///< Zero is the most urgent.
+  Duration objective{ 0 }; ///< Time to a fully credited answer.
+  int priority = 0;        ///< Zero is the most urgent.
   uint32_t maxAttempts = 1;
   bool keyless = false;            ///< Served without an organisation's key.
   bool resumable = false;          ///< A stream may go on at another upstream.
@@ -56,19 +55,15 @@
   }
 };
 
-/// @brief A model engine's batching and memory.
+/// @brief A model engine's batching.
 struct Engine
 {
   uint32_t slots = 1;
-  uint64_t memoryTokens = 0;
-  std::map<std::string, double> modelCost; ///< Per 1,000 generated tokens.
 };
 
 struct Service
 {
   std::string name;
-  std::string healthPath;
-  uint32_t maxConnections = 0;
   Duration coldStart{ 0 };
   double coldRate = 0; ///< Requests a second that a cold upstream bears.
   std::optional<Engine> engine;
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -21,7 +21,6 @@
   std::string_view model;         ///< Empty for plain services.
   std::string_view affinityKey;   ///< The deepest shared part of the prompt.
   double sharedTokens = 0;        ///< Prompt tokens under that key.
-  double promptTokens = 0;        ///< All prompt tokens.
   std::string_view onlyVersion;   ///< Software version; empty for any.
   std::string_view exceptVersion; ///< Software version to avoid.
   std::span<const UpstreamId> tried;
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -132,7 +132,6 @@
   wanted.onlyVersion = rule.only;
   wanted.exceptVersion = rule.except;
   wanted.tried = aExchange.tried;
-  wanted.promptTokens = aExchange.facts.promptTokens;
   const auto& parts = aExchange.facts.parts;
   if (parts.size() > 1) {
     wanted.affinityKey = parts[parts.size() - 2].id;
--- /dev/null
+++ b/src/hibiscusnotch/entry/gossip_test.cpp
@@ -0,0 +1,174 @@
+#include "hibiscusnotch/entry/gossip.hpp"
+
+#include "hibiscusnotch/entry/load_exchange.hpp"
+#include "hibiscusnotch/testing/manual_timers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace hibiscusnotch;
+using namespace hibiscusnotch::entry;
+using boost::asio::ip::udp;
+using hibiscusnotch::testing::ManualTimers;
+
+namespace {
+
+/// A port that nothing listens on now.
+uint16_t
+FreePort(boost::asio::io_context& aContext)
+{
+  const udp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+  return udp::socket(aContext, any).local_endpoint().port();
+}
+
+/// Four instances in two zones, over loopback sockets and paused clocks.
+struct Fleet
+{
+  static constexpr std::size_t kSize = 4;
+  std::array<boost::asio::io_context, kSize> contexts;
+  std::array<ManualTimers, kSize> timers;
+  EventLog log{ timers[0], { "test", 0, 0 } };
+  std::array<FleetState, kSize> states;
+  std::set<std::size_t> frozen;
+  std::array<std::unique_ptr<Gossip>, kSize> gossips;
+
+  static std::string NameOf(std::size_t aIndex)
+  {
+    return "i" + std::to_string(aIndex);
+  }
+
+  Fleet()
+  {
+    std::map<std::string, InstanceRow> rows;
+    for (std::size_t index = 0; index < kSize; ++index) {
+      rows[NameOf(index)] = { { "127.0.0.1", FreePort(contexts[index]) },
+                              index < 2 ? "east" : "west" };
+    }
+    for (std::size_t index = 0; index < kSize; ++index) {
+      states[index].instances = rows;
+      GossipOptions options;
+      options.instanceName = NameOf(index);
+      options.endpoint = rows[NameOf(index)].endpoint;
+      options.zone = rows[NameOf(index)].zone;
+      gossips[index] =
+        MakeGossip(contexts[index], timers[index], options, states[index], log);
+    }
+  }
+
+  /// Lets a number of reports and answers pass.
+  void Run(int aPeriods)
+  {
+    for (int period = 0; period < aPeriods; ++period) {
+      for (std::size_t index = 0; index < kSize; ++index) {
+        if (!frozen.contains(index)) {
+          timers[index].Advance(GossipOptions{}.period);
+        }
+      }
+      // Datagrams on loopback are there at once; answers need another round.
+      for (int round = 0; round < 3; ++round) {
+        PollAll();
+      }
+    }
+  }
+
+  void PollAll()
+  {
+    for (std::size_t index = 0; index < kSize; ++index) {
+      if (!frozen.contains(index)) {
+        contexts[index].poll();
+        contexts[index].restart();
+      }
+    }
+  }
+
+  /// All clocks but the frozen ones' are alike.
+  TimePoint Now() const
+  {
+    return std::max(timers.front().Now(), timers.back().Now());
+  }
+};
+
+routing::UpstreamEntry
+MakeEntry()
+{
+  routing::UpstreamEntry entry;
+  entry.name = "u";
+  entry.service = "engine";
+  return entry;
+}
+
+routing::RolloutOrder
+MakeOrder()
+{
+  routing::RolloutOrder order;
+  order.service = "engine";
+  order.target = "v2";
+  order.duration = Duration{ 24'000'000 };
+  order.creation = 5;
+  return order;
+}
+
+} // namespace
+
+TEST_CASE("work sent by one instance is known at the other one of its zone")
+{
+  Fleet fleet;
+  for (FleetState& state : fleet.states) {
+    state.upstreams.Apply(MakeEntry(), fleet.Now());
+  }
+  fleet.states[0].upstreams.CountSend(
+    *fleet.states[0].upstreams.FindByName("u"), 5000, fleet.Now());
+  fleet.Run(4);
+  const auto loadAt = [&fleet](std::size_t aIndex) {
+    const auto& upstreams = fleet.states[aIndex].upstreams;
+    return routing::UpstreamTable::Load(
+      *upstreams.Find(*upstreams.FindByName("u")), fleet.Now());
+  };
+  CHECK(loadAt(0) == doctest::Approx(1)); // its own part is not told back
+  CHECK(loadAt(1) == doctest::Approx(1));
+  CHECK(loadAt(2) == doctest::Approx(0)); // loads stay within a zone
+}
+
+TEST_CASE("bad answers and quarantined requests reach all zones")
+{
+  Fleet fleet;
+  for (FleetState& state : fleet.states) {
+    state.rollouts.Apply(MakeOrder(), fleet.Now());
+  }
+  for (int answer = 0; answer < 5; ++answer) {
+    fleet.states[1].rollouts.CountAnswer(
+      "engine", "v2", "r", "r", false, Duration{ 1000 }, fleet.Now());
+  }
+  fleet.states[1].quarantine.CountLoss(7);
+  fleet.states[1].quarantine.CountLoss(7);
+  fleet.Run(6);
+  for (FleetState& state : fleet.states) {
+    CHECK(state.rollouts.Wanted("engine", fleet.Now()) ==
+          routing::RolloutState::RolledBack);
+    CHECK(state.quarantine.Holds(7));
+  }
+}
+
+TEST_CASE("when a hub falls silent the next instance takes over")
+{
+  // Pattern: the hub of a zone freezes while a bad version is tried.
+  Fleet fleet;
+  fleet.Run(2);
+  const std::string hub = HubOrder(fleet.states[0], "east")[1];
+  const std::size_t rest = hub == "i0" ? 1 : 0;
+  fleet.frozen.insert(1 - rest);
+  for (FleetState& state : fleet.states) {
+    state.rollouts.Apply(MakeOrder(), fleet.Now());
+  }
+  for (int answer = 0; answer < 5; ++answer) {
+    fleet.states[2].rollouts.CountAnswer(
+      "engine", "v2", "r", "r", false, Duration{ 1000 }, fleet.Now());
+  }
+  fleet.Run(15); // three seconds; the silence that counts takes half of them
+  CHECK(fleet.states[rest].rollouts.Wanted("engine", fleet.Now()) ==
+        routing::RolloutState::RolledBack);
+}
--- a/src/hibiscusnotch/routing/placement_test.cpp
+++ b/src/hibiscusnotch/routing/placement_test.cpp
@@ -55,7 +55,6 @@
   request.model = "m";
   request.affinityKey = aKey;
   request.sharedTokens = aShared;
-  request.promptTokens = aShared + 500;
   return request;
 }
 
