Go on from a mirror that lags, in place of listing it over and over

Cause: it had listed the store itself in an outage. The mirror it then returned to had learnt of no change of the configuration since and named an older revision, which is right; the reader took that for a source that would undo what it knows and listed it again every 50 ms, for good. A mirror's revision only moves with a change, so the state lasts until the next one. Change: the reader watches such a mirror from the revision that it knows.

--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -64,8 +64,12 @@
       firstAsOf_ = aPage->asOf;
     }
     if (aPage->asOf < since_) {
-      // A source that lags behind what is known here would undo it.
-      Fail(StoreFault::SourceLost, true);
+      // A mirror that lags behind what is known here would undo it. What it
+      // learns from now on still counts.
+      NoteOutage(aPage->afterOutage);
+      Succeed();
+      observer_.onConfirmed(listSentAt_ - aPage->age);
+      Watch(options_.wait);
       return;
     }
     NoteOutage(aPage->afterOutage);
