--- a/src/hibiscusnotch/routing/rollout_test.cpp
+++ b/src/hibiscusnotch/routing/rollout_test.cpp
@@ -173,7 +173,7 @@
     [&instances](uint64_t aKey, int aRequest, TimePoint aNow) {
       Rollouts& self = instances[static_cast<std::size_t>(aRequest) % 3];
       const VersionRule rule = self.RuleFor("engine", aKey, aNow);
-      const std::string version = rule.only == "v2" ? "v2" : "v1";
+      std::string version = rule.only == "v2" ? "v2" : "v1";
       self.CountSession("engine", aKey, version, aNow);
       return version;
     };
