Send no work to versions whose order was replaced

Cause: its order was replaced by the next one after 0.65 s; whatever is not the newest order's target counted as a settled version. Change: targets of earlier orders that did not succeed stay unsettled until they are ordered again, and get no work.

--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -23,6 +23,7 @@
   double sharedTokens = 0;        ///< Prompt tokens under that key.
   std::string_view onlyVersion;   ///< Software version; empty for any.
   std::string_view exceptVersion; ///< Software version to avoid.
+  std::span<const std::string> unsettledVersions; ///< To avoid as well.
   std::span<const UpstreamId> tried;
 };
 
--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace hibiscusnotch::routing {
 
@@ -42,6 +43,8 @@
 {
   std::string only;
   std::string except;
+  /// @brief Targets of earlier orders that did not succeed.
+  std::vector<std::string> unsettled{};
 };
 
 /// @brief Decayed counts of answers.
@@ -139,6 +142,7 @@
   struct Trial
   {
     RolloutOrder order;
+    std::vector<std::string> unsettled; ///< As in VersionRule.
     TimePoint seenAt{};
     TimePoint decayedAt{};
     double share = 0; ///< Of the sessions, through the first half.
@@ -161,6 +165,9 @@
   const std::string* VersionOf(std::string_view aService,
                                uint64_t aStableHash,
                                TimePoint aNow) const;
+  VersionRule TrialRule(const Trial& aTrial,
+                        uint64_t aStableHash,
+                        TimePoint aNow) const;
   static bool SessionsStay(const Trial& aTrial, TimePoint aNow);
   static double ExposureAt(const Trial& aTrial, TimePoint aNow);
   static void Decay(Trial& aTrial, TimePoint aNow);
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -131,6 +131,7 @@
   wanted.model = model;
   wanted.onlyVersion = rule.only;
   wanted.exceptVersion = rule.except;
+  wanted.unsettledVersions = rule.unsettled;
   wanted.tried = aExchange.tried;
   const auto& parts = aExchange.facts.parts;
   if (parts.size() > 1) {
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -43,6 +43,10 @@
   if (!aRequest.exceptVersion.empty() && aVersion == aRequest.exceptVersion) {
     return false;
   }
+  if (std::ranges::find(aRequest.unsettledVersions, aVersion) !=
+      aRequest.unsettledVersions.end()) {
+    return false;
+  }
   return aRequest.onlyVersion.empty() || aVersion == aRequest.onlyVersion;
 }
 
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -95,7 +95,14 @@
 {
   Trial& trial = trials_[aOrder.service];
   if (trial.order.creation != aOrder.creation) {
+    std::vector<std::string> unsettled = std::move(trial.unsettled);
+    if (!trial.order.target.empty() &&
+        trial.order.state != RolloutState::Succeeded) {
+      unsettled.push_back(trial.order.target);
+    }
+    std::erase(unsettled, aOrder.target);
     trial = Trial{};
+    trial.unsettled = std::move(unsettled);
     trial.seenAt = aNow;
     trial.decayedAt = aNow;
     trial.share = TrialShare(aInstances);
@@ -137,16 +144,26 @@
   if (found == trials_.end()) {
     return {};
   }
-  const Trial& trial = found->second;
-  const std::string& target = trial.order.target;
-  if (trial.order.state == RolloutState::Succeeded) {
+  VersionRule rule = TrialRule(found->second, aStableHash, aNow);
+  rule.unsettled = found->second.unsettled;
+  return rule;
+}
+
+VersionRule
+Rollouts::TrialRule(const Trial& aTrial,
+                    uint64_t aStableHash,
+                    TimePoint aNow) const
+{
+  const std::string& target = aTrial.order.target;
+  if (aTrial.order.state == RolloutState::Succeeded) {
     return { target, "" };
   }
-  if (trial.order.state == RolloutState::RolledBack || trial.bad) {
+  if (aTrial.order.state == RolloutState::RolledBack || aTrial.bad) {
     return { "", target };
   }
-  if (SessionsStay(trial, aNow)) {
-    if (const std::string* version = VersionOf(aService, aStableHash, aNow)) {
+  if (SessionsStay(aTrial, aNow)) {
+    if (const std::string* version =
+          VersionOf(aTrial.order.service, aStableHash, aNow)) {
       return *version == target ? VersionRule{ target, "" }
                                 : VersionRule{ "", target };
     }
@@ -154,7 +171,7 @@
       return { "", target };
     }
   }
-  return Draw(aStableHash) < ExposureAt(trial, aNow)
+  return Draw(aStableHash) < ExposureAt(aTrial, aNow)
            ? VersionRule{ target, "" }
            : VersionRule{ "", target };
 }
--- a/src/hibiscusnotch/routing/rollout_test.cpp
+++ b/src/hibiscusnotch/routing/rollout_test.cpp
@@ -315,3 +315,27 @@
     "engine", "others", large.OwnEvidence(trial).at("engine"), trial);
   CHECK(moved(small) == moved(large));
 }
+
+TEST_CASE("a version whose order was replaced is not a settled one")
+{
+  // Pattern: the operator orders the next version before the first is judged.
+  Rollouts rollouts;
+  rollouts.Apply(MakeOrder(RolloutState::Running), kStart);
+  RolloutOrder next = MakeOrder();
+  next.target = "v3";
+  next.creation = 9;
+  next.revision = 9;
+  rollouts.Apply(next, kStart + kSecond);
+  const VersionRule rule =
+    rollouts.RuleFor("engine", ~uint64_t{ 0 }, kStart + 2 * kSecond);
+  CHECK(rule.except == "v3");
+  CHECK(rule.unsettled == std::vector<std::string>{ "v2" });
+  // Ordered once more, it is the target and may be tried.
+  RolloutOrder again = MakeOrder();
+  again.creation = 12;
+  again.revision = 12;
+  rollouts.Apply(again, kStart + 3 * kSecond);
+  CHECK(rollouts.RuleFor("engine", 0, kStart + 5 * kSecond).only == "v2");
+  CHECK(rollouts.RuleFor("engine", 0, kStart + 5 * kSecond).unsettled ==
+        std::vector<std::string>{ "v3" });
+}
