Keep one sum of route counts and one copy of a trial's share

Read again: the hub's exchange added counts by route with a loop that the verdict on a version had as well, and a trial held its share of sessions beside the evidence that tells it. Behaviour is the same; the tests of both modules pass unchanged.

--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -56,6 +56,12 @@
   double Total() const { return good + bad; }
 };
 
+/// @brief Counts of answers by route.
+using RouteCounts = std::map<std::string, AnswerCounts>;
+
+void
+Add(RouteCounts& aSum, const RouteCounts& aPart);
+
 /// @brief One instance's evidence on one order, as peers exchange it.
 struct RolloutEvidence
 {
@@ -63,8 +69,8 @@
   Duration age{ 0 };     ///< Since the instance first saw the order.
   double trialShare = 1; ///< Of the sessions that a trial moves.
   /// @brief By route: answers of the target and of the other versions.
-  std::map<std::string, AnswerCounts> target;
-  std::map<std::string, AnswerCounts> others;
+  RouteCounts target;
+  RouteCounts others;
 };
 
 /// @brief Short hashes of sessions, as instances exchange them.
@@ -145,7 +151,6 @@
     std::vector<std::string> unsettled; ///< As in VersionRule.
     TimePoint seenAt{};
     TimePoint decayedAt{};
-    double share = 0; ///< Of the sessions, through the first half.
     RolloutEvidence own;
     std::map<std::string, RolloutEvidence, std::less<>> peers;
     std::map<std::string, Latency, std::less<>> othersLatency;
--- a/src/hibiscusnotch/entry/evidence_exchange.cpp
+++ b/src/hibiscusnotch/entry/evidence_exchange.cpp
@@ -9,16 +9,6 @@
 // The sums stand in one row of a roll-out's peers, which each sum replaces.
 constexpr std::string_view kOthers = "others";
 
-void
-Add(std::map<std::string, routing::AnswerCounts>& aSum,
-    const std::map<std::string, routing::AnswerCounts>& aPart)
-{
-  for (const auto& [route, counts] : aPart) {
-    aSum[route].good += counts.good;
-    aSum[route].bad += counts.bad;
-  }
-}
-
 } // namespace
 
 void
@@ -37,8 +27,8 @@
     }
     sum.age = std::max(sum.age, part.age);
     sum.trialShare = std::min(sum.trialShare, part.trialShare);
-    Add(sum.target, part.target);
-    Add(sum.others, part.others);
+    routing::Add(sum.target, part.target);
+    routing::Add(sum.others, part.others);
   }
 }
 
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -15,7 +15,7 @@
 constexpr uint32_t kTokenUnit = 256; // what placement tells apart is coarser
 
 json
-WriteCounts(const std::map<std::string, routing::AnswerCounts>& aCounts)
+WriteCounts(const routing::RouteCounts& aCounts)
 {
   json rows = json::array();
   for (const auto& [route, counts] : aCounts) {
@@ -26,10 +26,10 @@
   return rows;
 }
 
-std::map<std::string, routing::AnswerCounts>
+routing::RouteCounts
 ReadCounts(const json& aRows)
 {
-  std::map<std::string, routing::AnswerCounts> counts;
+  routing::RouteCounts counts;
   for (const json& row : aRows) {
     counts[row.at(0).get<std::string>()] = {
       static_cast<double>(row.at(1).get<uint64_t>()) / kCountUnits,
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -88,6 +88,14 @@
 
 } // namespace
 
+void
+Add(RouteCounts& aSum, const RouteCounts& aPart)
+{
+  for (const auto& [route, counts] : aPart) {
+    Add(aSum[route], counts);
+  }
+}
+
 void
 Rollouts::Apply(const RolloutOrder& aOrder,
                 TimePoint aNow,
@@ -105,7 +113,7 @@
     trial.unsettled = std::move(unsettled);
     trial.seenAt = aNow;
     trial.decayedAt = aNow;
-    trial.share = TrialShare(aInstances);
+    trial.own.trialShare = TrialShare(aInstances);
     trial.own.creation = aOrder.creation;
   } else if (trial.order.revision > aOrder.revision) {
     return;
@@ -130,7 +138,7 @@
   }
   const double part = PartOf(aTrial.order, aTrial.seenAt, aNow);
   if (part < kGrowFrom) {
-    return aTrial.share;
+    return aTrial.own.trialShare;
   }
   return part < kFullFrom ? kGrowShare : 1.0;
 }
@@ -228,7 +236,7 @@
     const auto& [service, hash] = key;
     const auto trial = trials_.find(service);
     if (trial != trials_.end() && SessionsStay(trial->second, aNow) &&
-        Draw(hash) < trial->second.share &&
+        Draw(hash) < trial->second.own.trialShare &&
         session.version != trial->second.order.target) {
       held.insert(ShortHash(hash));
     }
@@ -296,7 +304,6 @@
         trial.order.state == RolloutState::Running) {
       Decay(trial, aNow);
       trial.own.age = aNow - trial.seenAt;
-      trial.own.trialShare = trial.share;
       evidence.emplace(service, trial.own);
     }
   }
@@ -316,22 +323,19 @@
     // An instance that has just started joins the schedule of the others, and
     // instances that count the fleet differently agree on one share.
     trial->second.seenAt = std::min(trial->second.seenAt, aNow - aEvidence.age);
-    trial->second.share = std::min(trial->second.share, aEvidence.trialShare);
+    double& share = trial->second.own.trialShare;
+    share = std::min(share, aEvidence.trialShare);
   }
 }
 
 bool
 Rollouts::LooksBad(const Trial& aTrial)
 {
-  std::map<std::string, AnswerCounts> target = aTrial.own.target;
-  std::map<std::string, AnswerCounts> others = aTrial.own.others;
+  RouteCounts target = aTrial.own.target;
+  RouteCounts others = aTrial.own.others;
   for (const auto& [instance, evidence] : aTrial.peers) {
-    for (const auto& [route, counts] : evidence.target) {
-      Add(target[route], counts);
-    }
-    for (const auto& [route, counts] : evidence.others) {
-      Add(others[route], counts);
-    }
+    Add(target, evidence.target);
+    Add(others, evidence.others);
   }
   AnswerCounts allTarget;
   AnswerCounts allOthers;
