Limit an order's exposure, honour leaving and backoff, let orders survive a restore

When their upstreams leave, the canary sessions are all that reaches the service.

Change: each instance counts its sends to the target and to any version since the order. In the canary phase a send to the target needs room within 0.8 of the share plus this instance's whole requests of the slack, or another version that can serve. Latencies of the former versions carry over to the next order, so that a slow target is found though they are gone; answers of unproven targets do not count for them. Orders carry the store's era: an order that a restored store holds again goes on with its schedule, its exposure and its verdict.

The upstream table remembers upstreams that announced their leaving or were removed, and the time until which one wants no requests. Both are read by the one check that every send passes.

Tests: rollout_test, upstream_table_test, placement_test; they do not compile against the former interface.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -56,8 +56,11 @@
   RolloutOrdered = 715,
   RolloutDecided = 716,
   RolloutWriteFailed = 717,
+  UpstreamBackoff = 718,
+  UpstreamsChanged = 719,
   StoreLost = 720,
   StoreRegained = 721,
+  StoreRestored = 723,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/core/verdict.hpp
+++ b/include/hibiscusnotch/core/verdict.hpp
@@ -48,6 +48,8 @@
   KeysTooOld,
   NoConfiguration,
   AttemptsUsedUp,
+  UpstreamBackoff, ///< The upstream asked for no requests for a while.
+  ExposureLimit,   ///< Only an unproven version could serve it.
   UpstreamFailed,
 };
 
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -45,6 +45,12 @@
            const Upstream& aUpstream,
            core::Reason& aLastReason);
 
+/// @brief When the first of the upstreams ends its backoff, if each upstream of
+/// the service and version is in backoff or takes no requests at all.
+std::optional<TimePoint>
+EndOfBackoff(const PlacementContext& aContext,
+             const PlacementRequest& aRequest);
+
 /// @brief The eligible upstream of the lowest expected cost; sets the reason if
 /// there is none.
 std::optional<UpstreamId>
--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -34,6 +34,7 @@
   std::string service;
   std::string target; ///< The software version to roll out.
   Duration duration{ 0 };
+  uint64_t era = 0;              ///< Of the store that holds the order.
   uint64_t revision = 0;         ///< Of the stored object's last change.
   uint64_t creationRevision = 0; ///< Distinguishes successive orders.
   RolloutState state = RolloutState::Ordered;
@@ -47,6 +48,9 @@
   std::string excluded;
   /// @brief Excluded as well: targets of earlier orders that did not succeed.
   std::vector<std::string> unproven{};
+  /// @brief The required version is unproven and has used up its exposure: it
+  /// may serve the request only while others are served by other versions.
+  bool exposureUsedUp = false;
 };
 
 /// @brief Answer counts with exponential decay.
@@ -78,22 +82,42 @@
 /// @brief Short hashes of sessions, as instances exchange them.
 using SessionHashes = std::set<uint32_t>;
 
+struct RolloutOptions
+{
+  /// @brief A session ends after this time without a request.
+  Duration sessionIdleTimeout{ 5'000'000 };
+  /// @brief Operators' limit on the share of a service's requests that reach
+  /// an unproven version.
+  double maxExposureShare = 0.12;
+  /// @brief Requests of the whole fleet that the limit allows on top.
+  double maxExposureSlack = 30;
+};
+
+/// @brief What an order's schedule depends on in the fleet.
+struct FleetShare
+{
+  /// @brief Number of instances; a larger fleet uses a smaller canary share.
+  std::size_t instances = 1;
+  /// @brief This instance's part of the exposure slack, in requests.
+  double exposureSlack = 0;
+};
+
 /// @brief The roll-outs known to this instance, one per service.
 class Rollouts
 {
 public:
-  /// @param aSessionIdleTimeout A session ends after this time without a
-  /// request.
-  explicit Rollouts(Duration aSessionIdleTimeout = Duration{ 5'000'000 })
-    : sessionIdleTimeout_(aSessionIdleTimeout)
+  explicit Rollouts(RolloutOptions aOptions = {})
+    : options_(aOptions)
   {
   }
 
-  /// @param aInstances Number of instances; a larger fleet uses a smaller
-  /// canary share.
+  const RolloutOptions& Options() const { return options_; }
+
+  /// @brief Applies an order or its new state. An order that a restored store
+  /// holds again goes on: its verdict, its schedule and its exposure stay.
   void Apply(const RolloutOrder& aOrder,
              TimePoint aNow,
-             std::size_t aInstances = 1);
+             FleetShare aFleetShare = {});
   void Remove(std::string_view aService);
 
   /// @brief The versions that may serve a request now.
@@ -103,6 +127,9 @@
                                   uint64_t aStableHash,
                                   TimePoint aNow) const;
 
+  /// @brief Counts a request that is sent to an upstream of the version.
+  void RecordSend(std::string_view aService, std::string_view aVersion);
+
   /// @brief Records the version that a session's request was sent to or ended
   /// at.
   void RecordSessionVersion(std::string_view aService,
@@ -154,13 +181,19 @@
   struct Rollout
   {
     RolloutOrder order;
-    std::vector<std::string> unproven; ///< As in VersionConstraint.
+    std::vector<std::string> unproven;   ///< As in VersionConstraint.
+    std::vector<std::string> failed;     ///< Targets that were rolled back.
+    std::optional<TimePoint> restoredAt; ///< Last restore of the store.
+    uint32_t sends = 0;                  ///< Since the order, to any version.
+    uint32_t targetSends = 0;
+    double exposureSlack = 0;
     TimePoint firstSeenAt{};
     TimePoint decayedAt{};
     RolloutEvidence localEvidence;
     std::map<std::string, RolloutEvidence, std::less<>> peerEvidence;
     std::map<std::string, LatencyAverage, std::less<>> baselineLatency;
     bool targetFailing = false;
+    bool succeeded = false; ///< Also if a restored store has forgotten it.
   };
 
   struct Session
@@ -171,6 +204,11 @@
   /// Service and hash of the session.
   using SessionKey = std::pair<std::string, uint64_t>;
 
+  /// Replaces an order by a newer one, which starts its own schedule.
+  static void StartOrder(Rollout& aRollout,
+                         const RolloutOrder& aOrder,
+                         TimePoint aNow,
+                         FleetShare aFleetShare);
   void RemoveIdleSessions(TimePoint aNow);
   /// The session's version; null if unknown or if the session has ended.
   const std::string* SessionVersion(std::string_view aService,
@@ -180,11 +218,14 @@
                                      uint64_t aStableHash,
                                      TimePoint aNow) const;
   static bool SessionsPinned(const Rollout& aRollout, TimePoint aNow);
+  /// True if one more request may reach the target in the canary phase.
+  bool ExposureLeft(const Rollout& aRollout) const;
+  VersionConstraint CanaryTarget(const Rollout& aRollout) const;
   static double TargetShareAt(const Rollout& aRollout, TimePoint aNow);
   static void Decay(Rollout& aRollout, TimePoint aNow);
   static bool IsTargetFailing(const Rollout& aRollout);
 
-  Duration sessionIdleTimeout_;
+  RolloutOptions options_;
   std::map<std::string, Rollout, std::less<>> rollouts_;
   std::map<SessionKey, Session> sessions_;
   SessionHashes peerPinnedSessions_;
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -45,8 +45,10 @@
 struct Upstream
 {
   UpstreamEntry entry;
-  bool removed = false;              ///< Removed or replaced; gets no requests.
-  bool announcedLeaving = false;     ///< It announced that it is leaving.
+  bool removed = false;          ///< Removed or replaced; gets no requests.
+  bool announcedLeaving = false; ///< It announced that it is leaving.
+  TimePoint backoffUntil{};      ///< It wants no requests before.
+  TimePoint heldUntil{}; ///< Its entry may be one that a restore brought back.
   std::optional<TimePoint> lapsedAt; ///< Vanished in a store outage.
   TimePoint coldUntil{};
   TimePoint suspectUntil{};
@@ -73,6 +75,12 @@
   /// @brief A reported load loses half its weight after this time; a peer's
   /// report expires.
   static constexpr Duration kLoadReportLifetime{ 1'000'000 };
+  /// @brief After a restore of the store, entries that were removed before are
+  /// not used for this time: those of ended upstreams expire within it.
+  static constexpr Duration kRestoredEntryHold{ 5'000'000 };
+  /// @brief How long an upstream that left is remembered; longer than it goes
+  /// on serving.
+  static constexpr Duration kDepartedMemory{ 60'000'000 };
 
   /// @brief Adds or updates an upstream; a new incarnation starts without
   /// state.
@@ -85,6 +93,10 @@
   /// ones without requests in flight.
   void Sweep(TimePoint aNow);
 
+  /// @brief The store was restored from an older copy, which may contain
+  /// entries of upstreams that have left.
+  void OnStoreRestored(TimePoint aNow) { restoredAt_ = aNow; }
+
   Upstream* Find(UpstreamId aId);
   const Upstream* Find(UpstreamId aId) const;
   std::optional<UpstreamId> FindByName(std::string_view aName) const;
@@ -107,6 +119,11 @@
   /// @brief The upstream could not be connected to.
   void RecordUnreachable(UpstreamId aId, Duration aColdStart, TimePoint aNow);
   void RecordReachable(UpstreamId aId);
+  /// @brief It announced that it is leaving; until its next incarnation it gets
+  /// no new requests, whatever its entry says.
+  void RecordLeaving(UpstreamId aId, TimePoint aNow);
+  /// @brief It asked for no requests until the time.
+  void RecordBackoff(UpstreamId aId, TimePoint aUntil);
 
   /// @brief Prompt tokens not read yet, of this instance and its peers.
   static double PendingTokens(const Upstream& aUpstream, TimePoint aNow);
@@ -114,7 +131,20 @@
   static double Load(const Upstream& aUpstream, TimePoint aNow);
 
 private:
+  /// An upstream that is leaving or whose entry was removed.
+  struct Departed
+  {
+    int64_t incarnation = 0;
+    bool leaving = false; ///< It said so itself.
+    TimePoint at{};
+  };
+
+  void RecordDeparted(const Upstream& aUpstream, TimePoint aNow);
+  void ApplyDeparted(Upstream& aUpstream, TimePoint aNow) const;
+
   std::map<UpstreamId, Upstream> rows_;
+  std::map<std::string, Departed, std::less<>> departed_;
+  std::optional<TimePoint> restoredAt_;
   std::map<std::string, UpstreamId, std::less<>> byName_;
   uint32_t nextId_ = 0;
 };
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -70,9 +70,12 @@
   EventDescription{ RolloutWriteFailed,
                     LogLevel::Warning,
                     "rollout_write_failed" },
+  EventDescription{ UpstreamBackoff, LogLevel::Info, "upstream_backoff" },
+  EventDescription{ UpstreamsChanged, LogLevel::Info, "upstreams_changed" },
   EventDescription{ StoreLost, LogLevel::Error, "store_lost" },
   EventDescription{ StoreRegained, LogLevel::Info, "store_regained" },
   EventDescription{ ObjectUnreadable, LogLevel::Error, "object_unreadable" },
+  EventDescription{ StoreRestored, LogLevel::Warning, "store_restored" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/core/verdict.cpp
+++ b/src/hibiscusnotch/core/verdict.cpp
@@ -74,6 +74,10 @@
       return "keys_too_old";
     case Reason::NoConfiguration:
       return "no_configuration";
+    case Reason::UpstreamBackoff:
+      return "upstream_backoff";
+    case Reason::ExposureLimit:
+      return "exposure_limit";
     case Reason::AttemptsUsedUp:
       return "attempts_used_up";
     case Reason::UpstreamFailed:
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -210,6 +210,14 @@
     aLastReason = core::Reason::UpstreamLeaving;
     return false;
   }
+  if (aContext.now < aUpstream.heldUntil) {
+    aLastReason = core::Reason::UpstreamLeaving;
+    return false;
+  }
+  if (aContext.now < aUpstream.backoffUntil) {
+    aLastReason = core::Reason::UpstreamBackoff;
+    return false;
+  }
   if (aContext.evacuatedZones.contains(aUpstream.entry.zone)) {
     aLastReason = core::Reason::ZoneOut;
     return false;
@@ -228,6 +236,29 @@
   return true;
 }
 
+std::optional<TimePoint>
+EndOfBackoff(const PlacementContext& aContext, const PlacementRequest& aRequest)
+{
+  std::optional<TimePoint> soonest;
+  for (const auto& [id, upstream] : aContext.upstreams.Rows()) {
+    if (upstream.entry.service != aRequest.service ||
+        !SatisfiesVersionConstraint(upstream.entry.softwareVersion, aRequest)) {
+      continue;
+    }
+    core::Reason reason = core::Reason::None;
+    if (IsEligible(aContext, upstream, reason)) {
+      return std::nullopt;
+    }
+    if (reason == core::Reason::UpstreamBackoff) {
+      soonest = std::min(soonest.value_or(upstream.backoffUntil),
+                         upstream.backoffUntil);
+    } else if (reason == core::Reason::ColdStartLimit) {
+      return std::nullopt; // takes requests again within a second
+    }
+  }
+  return soonest;
+}
+
 std::optional<UpstreamId>
 ChooseUpstream(const PlacementContext& aContext,
                const PlacementRequest& aRequest,
--- a/src/hibiscusnotch/routing/placement_test.cpp
+++ b/src/hibiscusnotch/routing/placement_test.cpp
@@ -226,3 +226,49 @@
   REQUIRE(second);
   CHECK(fixture.table.Find(*second)->entry.zone == "west");
 }
+
+TEST_CASE("an upstream gets nothing until its backoff is over")
+{
+  Fixture fixture;
+  const UpstreamId busy = fixture.Add("busy");
+  fixture.table.RecordBackoff(busy, kNow + 2 * kSecond);
+  fixture.table.RecordBackoff(busy, kNow + kSecond); // does not shorten it
+  CHECK_FALSE(fixture.Choose(ForPrompt("p", 0)));
+  CHECK(fixture.reason == Reason::UpstreamBackoff);
+  CHECK_FALSE(fixture.Choose(ForPrompt("p", 0), kNow + 19 * kSecond / 10));
+  CHECK(fixture.Choose(ForPrompt("p", 0), kNow + 2 * kSecond) == busy);
+}
+
+TEST_CASE("a held or leaving upstream gets nothing")
+{
+  Fixture fixture;
+  const UpstreamId held = fixture.Add("held");
+  fixture.table.Find(held)->heldUntil = kNow + kSecond;
+  const UpstreamId leaving = fixture.Add("leaving");
+  fixture.table.RecordLeaving(leaving, kNow);
+  CHECK_FALSE(fixture.Choose(ForPrompt("p", 0)));
+  CHECK(fixture.Choose(ForPrompt("p", 0), kNow + kSecond) == held);
+}
+
+TEST_CASE("the end of the backoffs is known if nothing else can serve")
+{
+  Fixture fixture;
+  const auto end = [&fixture] {
+    PlacementRequest request = ForPrompt("p", 0);
+    request.service = "engine";
+    return EndOfBackoff(
+      { fixture.table,
+        fixture.evacuatedZones,
+        "east",
+        [&fixture](const Upstream&) { return fixture.coldRateLimit; },
+        kNow },
+      request);
+  };
+  CHECK_FALSE(end()); // no upstream at all
+  fixture.table.RecordBackoff(fixture.Add("a"), kNow + 3 * kSecond);
+  fixture.table.RecordBackoff(fixture.Add("b"), kNow + 2 * kSecond);
+  fixture.table.RecordLeaving(fixture.Add("c"), kNow);
+  CHECK(end() == kNow + 2 * kSecond);
+  fixture.Add("d");
+  CHECK_FALSE(end());
+}
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -19,8 +19,13 @@
 // which they do five times a second.
 constexpr Duration kCanaryDelay{ 1'500'000 };
 constexpr Duration kSweepInterval{ 1'000'000 }; // for ended sessions
+// After a restore of the store, operators write their last orders again.
+constexpr Duration kRewriteTime{ 5'000'000 };
 // Covers the delay between the end of a response here and at the caller.
 constexpr Duration kSessionTimeoutMargin{ 500'000 };
+// Part of the operators' exposure limit that is used: instances count sends,
+// which the upstreams may refuse.
+constexpr double kExposureUse = 0.8;
 constexpr double kRampStart = 0.52;
 constexpr double kRampShare = 0.4;
 constexpr double kFullTrafficStart = 0.6;
@@ -101,29 +106,63 @@
   }
 }
 
+void
+Rollouts::StartOrder(Rollout& aRollout,
+                     const RolloutOrder& aOrder,
+                     TimePoint aNow,
+                     FleetShare aFleetShare)
+{
+  Rollout next;
+  next.unproven = std::move(aRollout.unproven);
+  next.failed = std::move(aRollout.failed);
+  next.restoredAt = aRollout.restoredAt;
+  // The versions before this order may be gone by the time of its canaries.
+  next.baselineLatency = std::move(aRollout.baselineLatency);
+  const RolloutOrder& former = aRollout.order;
+  if (!former.target.empty() && !aRollout.succeeded) {
+    next.unproven.push_back(former.target);
+  }
+  if (aRollout.targetFailing || former.state == RolloutState::RolledBack) {
+    next.failed.push_back(former.target);
+  }
+  std::erase(next.unproven, aOrder.target);
+  next.targetFailing =
+    next.restoredAt && aNow - *next.restoredAt < kRewriteTime &&
+    std::ranges::find(next.failed, aOrder.target) != next.failed.end();
+  next.exposureSlack = aFleetShare.exposureSlack;
+  next.firstSeenAt = aNow;
+  next.decayedAt = aNow;
+  next.localEvidence.canaryShare = CanaryShare(aFleetShare.instances);
+  next.localEvidence.creationRevision = aOrder.creationRevision;
+  aRollout = std::move(next);
+}
+
 void
 Rollouts::Apply(const RolloutOrder& aOrder,
                 TimePoint aNow,
-                std::size_t aInstances)
+                FleetShare aFleetShare)
 {
   Rollout& rollout = rollouts_[aOrder.service];
-  if (rollout.order.creationRevision != aOrder.creationRevision) {
-    std::vector<std::string> unproven = std::move(rollout.unproven);
-    if (!rollout.order.target.empty() &&
-        rollout.order.state != RolloutState::Succeeded) {
-      unproven.push_back(rollout.order.target);
-    }
-    std::erase(unproven, aOrder.target);
-    rollout = Rollout{};
-    rollout.unproven = std::move(unproven);
-    rollout.firstSeenAt = aNow;
-    rollout.decayedAt = aNow;
-    rollout.localEvidence.canaryShare = CanaryShare(aInstances);
+  const RolloutOrder& known = rollout.order;
+  if (aOrder.era < known.era) {
+    return; // read before the store was restored
+  }
+  const bool newEra = aOrder.era > known.era && !known.target.empty();
+  if (newEra) {
+    rollout.restoredAt = aNow;
+  }
+  if (newEra && aOrder.target == known.target) {
     rollout.localEvidence.creationRevision = aOrder.creationRevision;
-  } else if (rollout.order.revision > aOrder.revision) {
+    rollout.targetFailing =
+      rollout.targetFailing || known.state == RolloutState::RolledBack;
+  } else if (newEra || aOrder.creationRevision != known.creationRevision) {
+    StartOrder(rollout, aOrder, aNow, aFleetShare);
+  } else if (known.revision > aOrder.revision) {
     return;
   }
   rollout.order = aOrder;
+  rollout.succeeded =
+    rollout.succeeded || aOrder.state == RolloutState::Succeeded;
 }
 
 void
@@ -170,7 +209,7 @@
                            TimePoint aNow) const
 {
   const std::string& target = aRollout.order.target;
-  if (aRollout.order.state == RolloutState::Succeeded) {
+  if (aRollout.succeeded) {
     return { target, "" };
   }
   if (aRollout.order.state == RolloutState::RolledBack ||
@@ -180,18 +219,48 @@
   if (SessionsPinned(aRollout, aNow)) {
     if (const std::string* version =
           SessionVersion(aRollout.order.service, aStableHash, aNow)) {
-      return *version == target ? VersionConstraint{ target, "" }
+      return *version == target ? CanaryTarget(aRollout)
                                 : VersionConstraint{ "", target };
     }
     if (peerPinnedSessions_.contains(ShortHash(aStableHash))) {
       return { "", target };
     }
+    return HashFraction(aStableHash) < TargetShareAt(aRollout, aNow)
+             ? CanaryTarget(aRollout)
+             : VersionConstraint{ "", target };
   }
   return HashFraction(aStableHash) < TargetShareAt(aRollout, aNow)
            ? VersionConstraint{ target, "" }
            : VersionConstraint{ "", target };
 }
 
+bool
+Rollouts::ExposureLeft(const Rollout& aRollout) const
+{
+  return aRollout.targetSends + 1 <=
+         aRollout.exposureSlack +
+           kExposureUse * options_.maxExposureShare * aRollout.sends;
+}
+
+VersionConstraint
+Rollouts::CanaryTarget(const Rollout& aRollout) const
+{
+  VersionConstraint constraint{ aRollout.order.target, "" };
+  constraint.exposureUsedUp = !ExposureLeft(aRollout);
+  return constraint;
+}
+
+void
+Rollouts::RecordSend(std::string_view aService, std::string_view aVersion)
+{
+  const auto found = rollouts_.find(aService);
+  if (found != rollouts_.end()) {
+    Rollout& rollout = found->second;
+    ++rollout.sends;
+    rollout.targetSends += aVersion == rollout.order.target ? 1 : 0;
+  }
+}
+
 bool
 Rollouts::SessionsPinned(const Rollout& aRollout, TimePoint aNow)
 {
@@ -219,7 +288,7 @@
   lastSweepAt_ = aNow;
   std::erase_if(sessions_, [this, aNow](const auto& aSession) {
     return aNow - aSession.second.at >
-           sessionIdleTimeout_ + kSessionTimeoutMargin;
+           options_.sessionIdleTimeout + kSessionTimeoutMargin;
   });
 }
 
@@ -231,7 +300,8 @@
   const auto session =
     sessions_.find(SessionKey{ std::string(aService), aStableHash });
   if (session == sessions_.end() ||
-      aNow - session->second.at > sessionIdleTimeout_ + kSessionTimeoutMargin) {
+      aNow - session->second.at >
+        options_.sessionIdleTimeout + kSessionTimeoutMargin) {
     return nullptr;
   }
   return &session->second.version;
@@ -297,7 +367,9 @@
       seconds > kSlowLatencyRatio * baseline.mean) {
     good = false;
   }
-  if (!target && aGood) {
+  const bool proven =
+    std::ranges::find(rollout.unproven, aVersion) == rollout.unproven.end();
+  if (!target && aGood && proven) {
     ++baseline.count;
     const double weight = std::max(kLatencyEwmaWeight, 1.0 / baseline.count);
     baseline.mean += weight * (seconds - baseline.mean);
@@ -378,6 +450,9 @@
   }
   Decay(rollout, aNow);
   rollout.targetFailing = rollout.targetFailing || IsTargetFailing(rollout);
+  if (rollout.succeeded) {
+    return RolloutState::Succeeded; // a restored store has forgotten it
+  }
   if (rollout.targetFailing) {
     return RolloutState::RolledBack;
   }
--- a/src/hibiscusnotch/routing/rollout_test.cpp
+++ b/src/hibiscusnotch/routing/rollout_test.cpp
@@ -303,8 +303,8 @@
 {
   Rollouts small;
   Rollouts large;
-  small.Apply(MakeOrder(), kStart, 8);
-  large.Apply(MakeOrder(), kStart, 370);
+  small.Apply(MakeOrder(), kStart, { 8, 0 });
+  large.Apply(MakeOrder(), kStart, { 370, 0 });
   const TimePoint rollout = kStart + 2 * kSecond;
   const auto moved = [&rollout](const Rollouts& aRollouts) {
     int count = 0;
@@ -350,3 +350,141 @@
   CHECK(rollouts.ConstraintFor("engine", 0, kStart + 5 * kSecond).unproven ==
         std::vector<std::string>{ "v3" });
 }
+
+TEST_CASE("the slow target of a second order is found by the first one's times")
+{
+  // Guards against a baseline that is forgotten with each new order: the
+  // upstreams of the former versions leave before the new target is tried.
+  Rollouts rollouts;
+  rollouts.Apply(MakeOrder(RolloutState::Running), kStart);
+  for (int answer = 0; answer < 8; ++answer) {
+    rollouts.RecordAnswer("engine", "v1", "r", "r", true, kSecond / 10, kStart);
+  }
+  RolloutOrder next = MakeOrder();
+  next.target = "v3";
+  next.creationRevision = 9;
+  rollouts.Apply(next, kStart + kSecond);
+  const TimePoint now = kStart + 3 * kSecond;
+  for (int answer = 0; answer < 8; ++answer) {
+    rollouts.RecordAnswer("engine", "v3", "r", "r", true, kSecond, now);
+  }
+  CHECK(rollouts.NextState("engine", now) == RolloutState::RolledBack);
+}
+
+TEST_CASE("an unproven target uses up its exposure, by order")
+{
+  constexpr uint64_t kCanarySession = 1; // a low hash is in any canary share
+  const TimePoint now = kStart + 3 * kSecond;
+  struct Case
+  {
+    std::vector<std::string> targets; ///< Of successive orders.
+    RolloutState first = RolloutState::Ordered;
+    bool limited = false;
+  };
+  const std::vector<Case> cases{
+    { { "v2" }, RolloutState::Ordered, true },
+    { { "v2", "v3" }, RolloutState::Succeeded, true },     // good, then bad
+    { { "v2", "v3" }, RolloutState::RolledBack, true },    // bad, then good
+    { { "v2", "v1" }, RolloutState::Running, true },       // back to the first
+    { { "v2", "v3", "v4" }, RolloutState::Running, true }, // three in a row
+    { { "v2" }, RolloutState::Succeeded, false },          // decided
+  };
+  for (const Case& one : cases) {
+    Rollouts rollouts;
+    uint64_t revision = 5;
+    for (const std::string& target : one.targets) {
+      RolloutOrder order =
+        MakeOrder(revision == 5 ? one.first : RolloutState::Running);
+      order.target = target;
+      order.creationRevision = order.revision = revision++;
+      rollouts.Apply(order, kStart, { 1, 2 });
+    }
+    const std::string& last = one.targets.back();
+    int sent = 0;
+    // No other version serves: only the slack is left.
+    for (int request = 0; request < 20; ++request) {
+      const VersionConstraint constraint =
+        rollouts.ConstraintFor("engine", kCanarySession, now);
+      CHECK(constraint.required == last);
+      if (!constraint.exposureUsedUp) {
+        rollouts.RecordSend("engine", last);
+        ++sent;
+      }
+    }
+    CHECK(sent == (one.limited ? 2 : 20));
+    // Requests that other versions serve make room for more.
+    for (int request = 0; request < 30; ++request) {
+      rollouts.RecordSend("engine", "v0");
+    }
+    CHECK_FALSE(
+      rollouts.ConstraintFor("engine", kCanarySession, now).exposureUsedUp);
+  }
+}
+
+TEST_CASE("an order that a restored store holds again goes on")
+{
+  RolloutOrder order = MakeOrder(RolloutState::Running);
+  order.era = 1;
+  Rollouts rollouts;
+  rollouts.Apply(order, kStart);
+  const TimePoint now = kStart + 20 * kSecond;
+  // Written again by the operator, with numbers that were given out before.
+  RolloutOrder again = MakeOrder(RolloutState::Ordered);
+  again.era = 2;
+  again.revision = 3;
+  again.creationRevision = 3;
+  rollouts.Apply(again, now);
+  CHECK(rollouts.LocalEvidence(now).at("engine").age == 20 * kSecond);
+  CHECK(rollouts.NextState("engine", now) == RolloutState::Succeeded);
+  // What was read before the restore no longer counts.
+  rollouts.Apply(order, now);
+  CHECK(rollouts.Find("engine")->era == 2);
+}
+
+TEST_CASE("a verdict that a restored store has forgotten is written again")
+{
+  for (const RolloutState state :
+       { RolloutState::Succeeded, RolloutState::RolledBack }) {
+    RolloutOrder order = MakeOrder(state);
+    order.era = 1;
+    Rollouts rollouts;
+    rollouts.Apply(order, kStart);
+    RolloutOrder older = MakeOrder(RolloutState::Running);
+    older.era = 2;
+    older.revision = 2;
+    rollouts.Apply(older, kStart + kSecond);
+    CHECK(rollouts.NextState("engine", kStart + kSecond) == state);
+    const VersionConstraint constraint =
+      rollouts.ConstraintFor("engine", 0, kStart + 3 * kSecond);
+    CHECK((state == RolloutState::Succeeded ? constraint.required
+                                            : constraint.excluded) == "v2");
+  }
+}
+
+TEST_CASE("a target that was rolled back stays so while orders are rewritten")
+{
+  // The copy holds the order before: it comes first, then the operator writes
+  // the last one again.
+  Rollouts rollouts;
+  RolloutOrder order = MakeOrder(RolloutState::RolledBack);
+  order.era = 1;
+  rollouts.Apply(order, kStart);
+  RolloutOrder former = MakeOrder(RolloutState::Running);
+  former.target = "v1";
+  former.era = 2;
+  former.creationRevision = 2;
+  rollouts.Apply(former, kStart + kSecond);
+  RolloutOrder again = MakeOrder();
+  again.era = 2;
+  again.creationRevision = 4;
+  rollouts.Apply(again, kStart + 2 * kSecond);
+  CHECK(rollouts.NextState("engine", kStart + 2 * kSecond) ==
+        RolloutState::RolledBack);
+  // Ordered anew much later, it gets another trial.
+  RolloutOrder later = MakeOrder();
+  later.era = 2;
+  later.creationRevision = 9;
+  rollouts.Apply(later, kStart + 30 * kSecond);
+  CHECK(rollouts.NextState("engine", kStart + 30 * kSecond) ==
+        RolloutState::Running);
+}
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -30,6 +30,9 @@
     if (same) {
       upstream.entry = aEntry;
       upstream.lapsedAt.reset();
+      if (aEntry.leaving) {
+        RecordLeaving(known->second, aNow);
+      }
       upstream.coldUntil =
         std::max(upstream.coldUntil, aNow + aEntry.coldRemaining);
       if (aEntry.coldRemaining == Duration::zero()) {
@@ -44,6 +47,11 @@
   Upstream upstream;
   upstream.entry = aEntry;
   upstream.coldUntil = aNow + aEntry.coldRemaining;
+  upstream.announcedLeaving = aEntry.leaving;
+  ApplyDeparted(upstream, aNow);
+  if (upstream.announcedLeaving) {
+    RecordDeparted(upstream, aNow);
+  }
   rows_.emplace(id, std::move(upstream));
   byName_.emplace(aEntry.name, id);
   return id;
@@ -63,17 +71,62 @@
     }
     return;
   }
+  RecordDeparted(upstream, aNow);
   upstream.removed = true;
   byName_.erase(known);
 }
 
+void
+UpstreamTable::RecordDeparted(const Upstream& aUpstream, TimePoint aNow)
+{
+  departed_[aUpstream.entry.name] = { aUpstream.entry.incarnation,
+                                      aUpstream.announcedLeaving,
+                                      aNow };
+}
+
+void
+UpstreamTable::ApplyDeparted(Upstream& aUpstream, TimePoint aNow) const
+{
+  const auto found = departed_.find(aUpstream.entry.name);
+  if (found == departed_.end() ||
+      found->second.incarnation != aUpstream.entry.incarnation) {
+    return;
+  }
+  if (found->second.leaving) {
+    aUpstream.announcedLeaving = true;
+  } else if (restoredAt_ && aNow - *restoredAt_ < kRestoredEntryHold) {
+    aUpstream.heldUntil = *restoredAt_ + kRestoredEntryHold;
+  }
+}
+
+void
+UpstreamTable::RecordLeaving(UpstreamId aId, TimePoint aNow)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->announcedLeaving = true;
+    RecordDeparted(*upstream, aNow);
+  }
+}
+
+void
+UpstreamTable::RecordBackoff(UpstreamId aId, TimePoint aUntil)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->backoffUntil = std::max(upstream->backoffUntil, aUntil);
+  }
+}
+
 void
 UpstreamTable::Sweep(TimePoint aNow)
 {
+  std::erase_if(departed_, [aNow](const auto& aDeparted) {
+    return aNow - aDeparted.second.at > kDepartedMemory;
+  });
   for (auto next = rows_.begin(); next != rows_.end();) {
     Upstream& upstream = next->second;
     if (!upstream.removed && upstream.lapsedAt &&
         aNow - *upstream.lapsedAt >= kLapsedEntryGrace) {
+      RecordDeparted(upstream, aNow);
       upstream.removed = true;
       byName_.erase(upstream.entry.name);
     }
--- a/src/hibiscusnotch/routing/upstream_table_test.cpp
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -109,3 +109,61 @@
   // An old report loses weight.
   CHECK(UpstreamTable::Load(*table.Find(id), kNow + 5 * kSecond) < 2);
 }
+
+TEST_CASE("an announced leaving ends only with the next incarnation")
+{
+  UpstreamTable table;
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
+  table.RecordLeaving(id, kNow);
+  // A list that lags says that it is ready.
+  CHECK(table.Apply(MakeEntry("u"), kNow + kSecond) == id);
+  CHECK(table.Find(id)->announcedLeaving);
+  // Its entry is removed, and a restored store brings it back.
+  table.Remove("u", false, kNow + 2 * kSecond);
+  table.Sweep(kNow + 2 * kSecond);
+  const UpstreamId back = table.Apply(MakeEntry("u"), kNow + 3 * kSecond);
+  CHECK(table.Find(back)->announcedLeaving);
+  const UpstreamId next = table.Apply(MakeEntry("u", 2), kNow + 4 * kSecond);
+  CHECK_FALSE(table.Find(next)->announcedLeaving);
+}
+
+TEST_CASE("an entry that said leaving stays so after a restore")
+{
+  UpstreamTable table;
+  UpstreamEntry entry = MakeEntry("u");
+  table.Apply(entry, kNow);
+  entry.leaving = true;
+  table.Apply(entry, kNow + kSecond);
+  entry.leaving = false;
+  table.OnStoreRestored(kNow + 2 * kSecond);
+  const UpstreamId id = table.Apply(entry, kNow + 2 * kSecond);
+  CHECK(table.Find(id)->announcedLeaving);
+}
+
+TEST_CASE("a removed entry that a restore brings back is held")
+{
+  // The upstream may have ended: then its entry expires within the hold.
+  UpstreamTable table;
+  table.Apply(MakeEntry("gone"), kNow);
+  table.Apply(MakeEntry("alive"), kNow);
+  table.Remove("gone", false, kNow + kSecond);
+  const TimePoint restored = kNow + 4 * kSecond;
+  table.OnStoreRestored(restored);
+  const UpstreamId gone = table.Apply(MakeEntry("gone"), restored);
+  CHECK(table.Find(gone)->heldUntil ==
+        restored + UpstreamTable::kRestoredEntryHold);
+  const UpstreamId alive = table.Apply(MakeEntry("alive"), restored);
+  CHECK(table.Find(alive)->heldUntil == TimePoint{});
+  const UpstreamId fresh = table.Apply(MakeEntry("gone", 2), restored);
+  CHECK(table.Find(fresh)->heldUntil == TimePoint{});
+}
+
+TEST_CASE("an entry that returns without a restore is used at once")
+{
+  UpstreamTable table;
+  table.Apply(MakeEntry("u"), kNow);
+  table.Remove("u", false, kNow + kSecond);
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow + 2 * kSecond);
+  CHECK(table.Find(id)->heldUntil == TimePoint{});
+  CHECK_FALSE(table.Find(id)->announcedLeaving);
+}
