--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hibiscusnotch::entry {
 
@@ -25,10 +26,12 @@
   std::string readinessPath = "/ready";
   core::Endpoint metricsEndpoint;
   core::Endpoint peerEndpoint; ///< UDP for reports, TCP for mirrors.
+  /// @brief Instances whose mirrors are read until the fleet is known. Some may
+  /// be down. If this instance is one of them, it reads the store.
+  std::vector<core::Endpoint> seeds;
   /// @brief From the termination signal to the end of the process.
   Duration shutdownGrace{ 8'000'000 };
-  /// @brief A session ends after this time without a request.
-  Duration sessionIdleTimeout{ 5'000'000 };
+  routing::RolloutOptions rollouts;
   RouterOptions router;
   FleetSyncOptions sync;
 };
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hibiscusnotch/core/quarantine.hpp"
+#include "hibiscusnotch/routing/cold_start_share.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/rollout.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
@@ -12,6 +13,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace hibiscusnotch::entry {
 
@@ -23,6 +26,8 @@
 {
   core::Endpoint endpoint; ///< UDP for reports, TCP for mirrors.
   std::string zone;
+  /// @brief Thousandths of a processor core that its machine gives it.
+  uint32_t capacity = 0;
 };
 
 /// @brief Shared state of this module's components.
@@ -36,6 +41,9 @@
   std::set<std::string, std::less<>> evacuatedZones;
   routing::Rollouts rollouts;
   std::map<std::string, InstanceInfo> instances;
+  uint64_t membership = 0;     ///< Rises with each change of the instances.
+  bool instancesKnown = false; ///< They have been listed at least once.
+  uint64_t storeEra = 0;
   core::Quarantine quarantine;
 
   std::size_t InstanceCount() const
@@ -44,4 +52,16 @@
   }
 };
 
+/// @brief The instances that may send to a zone's upstreams.
+std::vector<routing::ColdStartSender>
+SendersTo(const FleetState& aFleet, std::string_view aZone);
+
+/// @brief Applies an order with this instance's share of the fleet's exposure
+/// slack. Small shares go to a few instances as whole requests.
+void
+ApplyRolloutOrder(const routing::RolloutOrder& aOrder,
+                  std::string_view aSelf,
+                  FleetState& aFleet,
+                  TimePoint aNow);
+
 } // namespace hibiscusnotch::entry
--- a/include/hibiscusnotch/entry/fleet_sync.hpp
+++ b/include/hibiscusnotch/entry/fleet_sync.hpp
@@ -22,6 +22,7 @@
   /// registered in the store yet.
   bool bootstrap = false;
   core::Endpoint peerEndpoint; ///< Where peers reach this instance.
+  uint32_t capacity = 0;       ///< As in InstanceInfo.
   /// @brief How long the store may hold a watch of the configuration. The end
   /// of each watch confirms the API keys, so it is well below their maximum
   /// age.
--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -57,6 +57,9 @@
   bool sealed = false;      ///< Carries the upstream's proof of origin.
   bool notExecuted = false; ///< The upstream states that nothing was executed.
   bool wrongUpstream = false; ///< The address belongs to another upstream.
+  bool leaving = false;       ///< The upstream announces that it is leaving.
+  /// @brief How long the upstream wants no requests from this instance.
+  std::optional<Duration> backoff;
   std::optional<routing::ReportedLoad> load;
   std::optional<int> confidence; ///< 0 to 100.
 };
--- a/include/hibiscusnotch/entry/load_aggregator.hpp
+++ b/include/hibiscusnotch/entry/load_aggregator.hpp
@@ -46,7 +46,7 @@
   void SetReport(std::string_view aSender,
                  const LoadTable& aLoad,
                  TimePoint aNow);
-  LoadTable TotalExcluding(std::string_view aReceiver, TimePoint aNow) const;
+  LoadTable TotalExcluding(std::string_view aReceiver, TimePoint aNow);
 
 private:
   struct TimedReport
@@ -55,14 +55,27 @@
     TimePoint at{};
   };
 
+  void DropExpired(TimePoint aNow);
+
   std::map<std::string, TimedReport, std::less<>> reports_;
+  /// Kept as reports come and go, so that a reply costs the upstreams, not the
+  /// instances times the upstreams.
+  LoadTable total_;
+  TimePoint nextExpiry_{}; ///< No report expires before.
 };
 
 /// @brief Writes the totals of the other instances to the upstream table.
 void
 ApplyPeerLoad(const LoadTable& aTotal, FleetState& aFleet, TimePoint aNow);
 
-/// @brief The zone's instances in the order in which they act as aggregator.
+/// @brief The zone's instances in the order in which they mirror the store: by
+/// capacity, equal ones by a hash of their names.
+std::vector<std::string>
+MirrorRanking(const FleetState& aFleet, std::string_view aZone);
+
+/// @brief The zone's instances in the order in which they act as aggregator: by
+/// capacity, equal ones against the order of the mirrors, so that the first of
+/// both are different instances.
 std::vector<std::string>
 AggregatorRanking(const FleetState& aFleet, std::string_view aZone);
 
--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -32,6 +32,7 @@
   QueuedRequests,
   ConfigurationRevision,
   LiveInstances,
+  StoreEra,
 };
 
 enum class Counter
--- a/include/hibiscusnotch/relay/fetcher.hpp
+++ b/include/hibiscusnotch/relay/fetcher.hpp
@@ -12,10 +12,15 @@
 
 using FetchId = uint64_t;
 
-/// @brief Receives the status and the body; status zero means that no complete
-/// response came in time.
-using FetchCallback =
-  std::function<void(int aStatus, const std::string& aBody)>;
+/// @brief A response; status zero means that no complete one came in time.
+struct FetchedResponse
+{
+  int status = 0;
+  net::Headers headers;
+  std::string body;
+};
+
+using FetchCallback = std::function<void(const FetchedResponse&)>;
 
 class Fetcher
 {
@@ -29,8 +34,7 @@
 private:
   struct PendingFetch
   {
-    int status = 0;
-    std::string body;
+    FetchedResponse response;
     CallId call = 0;
     TimerId timer = 0;
     FetchCallback done;
--- a/include/hibiscusnotch/store/mirror.hpp
+++ b/include/hibiscusnotch/store/mirror.hpp
@@ -16,38 +16,52 @@
 class Mirror
 {
 public:
-  /// @brief Replaces the objects and logs the differences as changes.
-  void ApplyList(const std::vector<Object>& aObjects, uint64_t aAsOf);
-  void Apply(const Change& aChange, uint64_t aAsOf);
+  /// @brief Replaces the objects and logs the differences as changes. A list of
+  /// a new era starts the log anew.
+  void ApplyList(const std::vector<Object>& aObjects, StoreVersion aAsOf);
+  void Apply(const Change& aChange, StoreVersion aAsOf);
 
   bool HasSnapshot() const { return hasSnapshot_; }
-  uint64_t AsOf() const { return asOf_; }
+  StoreVersion AsOf() const { return asOf_; }
+  /// @brief True if there are changes after the version, or if a reader at that
+  /// version has to list again.
+  bool IsNewerThan(StoreVersion aVersion) const;
   ListPage List() const;
-  /// @brief Changes after a revision; nothing if the log no longer has them
-  /// all.
-  std::optional<ChangeBatch> ChangesSince(uint64_t aRevision) const;
+  /// @brief Changes after a version; nothing if the log does not have them all.
+  std::optional<ChangeBatch> ChangesSince(StoreVersion aVersion) const;
+
+  /// @brief The encoded items of a page. Encoded once for all readers.
+  const std::string& EncodedItems();
+  /// @brief The encoded changes of a batch; null if the log does not have them
+  /// all. Encoded once for all readers at the same version.
+  const std::string* EncodedChangesSince(StoreVersion aVersion);
 
 private:
   struct LogEntry
   {
-    uint64_t asOf = 0;
+    uint64_t revision = 0;
     Change change;
   };
 
-  void AppendToLog(const Change& aChange, uint64_t aAsOf);
+  void AppendToLog(const Change& aChange, uint64_t aRevision);
+  bool HasHistorySince(StoreVersion aVersion) const;
+  void DropEncodings();
 
   std::map<std::string, Object> objects_;
   std::deque<LogEntry> changeLog_;
   uint64_t compactedRevision_ = 0; ///< Changes up to it left the log.
-  uint64_t asOf_ = 0;
+  StoreVersion asOf_;
   bool hasSnapshot_ = false;
+  std::string encodedItems_; ///< Empty if not encoded yet.
+  std::map<uint64_t, std::string>
+    encodedChanges_; ///< By the reader's revision.
 };
 
 /// @brief A peer's request to a mirror: a list, or a watch since a revision.
 struct MirrorQuery
 {
   std::string kind;
-  std::optional<uint64_t> since; ///< Empty to list.
+  std::optional<StoreVersion> since; ///< Empty to list.
   Duration wait{ 0 };
 };
 
@@ -57,6 +71,18 @@
 std::optional<MirrorQuery>
 ParseMirrorTarget(std::string_view aTarget);
 
+/// @brief What a response of a mirror says beside the items or changes.
+struct MirrorResponseHead
+{
+  StoreVersion asOf;
+  Duration age{ 0 };         ///< As in ListPage and ChangeBatch.
+  bool recentOutage = false; ///< As in ListPage.
+};
+
+/// @param aEncoded The encoded items or changes.
+std::string
+EncodeMirrorResponse(const MirrorResponseHead& aHead,
+                     std::string_view aEncoded);
 std::string
 EncodeMirrorPage(const ListPage& aPage);
 std::string
--- a/include/hibiscusnotch/store/mirror_server.hpp
+++ b/include/hibiscusnotch/store/mirror_server.hpp
@@ -24,8 +24,10 @@
   virtual Mirror& MirrorOf(const std::string& aKind) = 0;
   /// @brief Completes the long polls that wait for a change of the kind.
   virtual void Publish(const std::string& aKind) = 0;
-  /// @brief The mirrors are known to match the store as of the time.
-  virtual void ConfirmUpTo(TimePoint aTime) = 0;
+  /// @brief The mirrors are known to match the store as of the time. Completes
+  /// the long polls for the kind, so that the age of copies does not add up
+  /// along a chain of mirrors.
+  virtual void ConfirmUpTo(const std::string& aKind, TimePoint aTime) = 0;
   /// @brief While disconnected from the store, peers' requests are refused at
   /// once.
   virtual void SetConnected(bool aConnected) = 0;
--- a/include/hibiscusnotch/store/mirrored_store.hpp
+++ b/include/hibiscusnotch/store/mirrored_store.hpp
@@ -34,6 +34,10 @@
   /// @brief After a start, mirrors that do not serve yet are retried for this
   /// time. Instances that start together do so within 0.3 s.
   Duration startupGrace{ 900'000 };
+  /// @brief How long a mirror may take beyond the requested wait. A mirror on a
+  /// busy machine is late; leaving it moves its load to the next one.
+  Duration responseMargin{ 900'000 };
+  Duration listTimeout{ 1'500'000 };
   /// @brief Backoff between the probes of a failing store by an instance that
   /// can read mirrors; it doubles up to the maximum. The first mirror has no
   /// other mirror to read, probes without it and notices the recovery first.
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/core/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -16,10 +17,21 @@
 using core::Duration;
 using core::TimePoint;
 
+/// @brief A state of the store. Restoring the store from an older copy begins
+/// a new era, in which revisions of the former one are given out again.
+struct StoreVersion
+{
+  uint64_t era = 0; ///< Zero if the store does not say.
+  uint64_t revision = 0;
+
+  friend auto operator<=>(const StoreVersion&, const StoreVersion&) = default;
+};
+
 /// @brief A stored object; each change gives it a higher revision.
 struct Object
 {
   std::string name;
+  uint64_t era = 0;              ///< Of the state that it was read from.
   uint64_t revision = 0;         ///< Store revision of the last change.
   uint64_t creationRevision = 0; ///< Store revision of its creation.
   nlohmann::json spec;
@@ -30,7 +42,7 @@
 {
   std::vector<Object> items;
   bool more = false; ///< More items follow after the last item's name.
-  uint64_t asOf = 0; ///< The store revision that the items reflect.
+  StoreVersion asOf; ///< The state of the store that the items reflect.
   /// @brief Time between the source's own last confirmation of this data and
   /// its response; zero from the store itself.
   Duration age{ 0 };
@@ -48,8 +60,12 @@
 {
   /// @brief Empty if the watch timed out without a change.
   std::vector<Change> changes;
-  uint64_t asOf = 0;
-  Duration age{ 0 };         ///< As in ListPage.
+  StoreVersion asOf;
+  /// @brief As in ListPage. From a mirror, the time between the data's
+  /// confirmation and the arrival of the request: negative if the data was
+  /// confirmed while the mirror held the request.
+  Duration age{ 0 };
+  bool fromMirror = false;
   bool recentOutage = false; ///< As in ListPage.
 };
 
@@ -57,8 +73,10 @@
 enum class StoreError
 {
   None,
-  HistoryGone, ///< The changes since the revision are compacted: list again.
-  Conflict,    ///< The object exists or has another revision.
+  /// @brief The changes since the version are compacted or of a former era:
+  /// list again.
+  HistoryGone,
+  Conflict, ///< The object exists or has another revision.
   NotFound,
   Refused,    ///< Rate limited or unavailable; the call had no effect.
   NoResponse, ///< No readable response in time; a write may have taken effect.
@@ -78,7 +96,7 @@
                     const std::string& aAfter,
                     ReplyCallback<ListPage> aReply) = 0;
   virtual void Watch(const std::string& aKind,
-                     uint64_t aSince,
+                     StoreVersion aSince,
                      Duration aWait,
                      ReplyCallback<ChangeBatch> aReply) = 0;
   virtual void Get(const std::string& aKind,
@@ -96,6 +114,8 @@
                       ReplyCallback<Object> aReply) = 0;
   /// @brief Number of calls to the store so far, for the metrics.
   virtual uint64_t CallCount() const = 0;
+  /// @brief The latest era of the store that a response carried.
+  virtual uint64_t Era() const = 0;
 };
 
 } // namespace hibiscusnotch::store
--- a/include/hibiscusnotch/store/watcher.hpp
+++ b/include/hibiscusnotch/store/watcher.hpp
@@ -28,8 +28,8 @@
 struct WatcherObserver
 {
   /// @brief The complete list, after a start or a gap in the history.
-  std::function<void(const std::vector<Object>&, uint64_t aAsOf)> onList;
-  std::function<void(const Change&, uint64_t aAsOf)> onChange;
+  std::function<void(const std::vector<Object>&, StoreVersion aAsOf)> onList;
+  std::function<void(const Change&, StoreVersion aAsOf)> onChange;
   /// @brief All changes up to the time have been reported.
   std::function<void(TimePoint)> onConfirmed;
   /// @brief The first failure after a success.
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -2,7 +2,6 @@
 
 #include "hibiscusnotch/core/rendezvous.hpp"
 #include "hibiscusnotch/routing/cold_start_share.hpp"
-#include "hibiscusnotch/routing/placement.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -66,16 +65,23 @@
     return std::numeric_limits<double>::infinity();
   }
   constexpr double kBurstMargin = 0.85; // for requests that arrive in bursts
-  std::vector<routing::ColdStartSender> senders;
-  for (const auto& [name, instance] : fleet_.instances) {
-    senders.push_back({ name, instance.zone == aUpstream.entry.zone });
-  }
-  return routing::ColdStartShare(
+  const double rate =
     kBurstMargin * (service->coldRequestsPerSecond * options_.coldRateFactor +
-                    options_.coldRateSlack),
-    aUpstream.entry.name,
-    options_.instanceName,
-    senders);
+                    options_.coldRateSlack);
+  if (sharesMembership_ != fleet_.membership) {
+    sharesMembership_ = fleet_.membership;
+    coldStartShares_.clear();
+  }
+  const auto [share, isNew] =
+    coldStartShares_.try_emplace({ aUpstream.entry.name, rate }, 0);
+  if (isNew) {
+    share->second =
+      routing::ColdStartShare(rate,
+                              aUpstream.entry.name,
+                              options_.instanceName,
+                              SendersTo(fleet_, aUpstream.entry.zone));
+  }
+  return share->second;
 }
 
 void
@@ -103,7 +109,8 @@
   const TimePoint now = timers_.Now();
   for (const auto& [id, upstream] : fleet_.upstreams.Rows()) {
     if (upstream.entry.service != aService || upstream.removed ||
-        upstream.entry.leaving || now < upstream.suspectUntil) {
+        upstream.entry.leaving || upstream.announcedLeaving ||
+        now < upstream.suspectUntil) {
       continue;
     }
     const double requests = routing::UpstreamTable::Load(upstream, now);
@@ -118,46 +125,78 @@
   return load.slots > 0 ? load.requests / load.slots : 0;
 }
 
+std::unique_ptr<AttemptPlanner::Plan>
+AttemptPlanner::MakePlan(const Exchange& aExchange,
+                         std::size_t aModelIndex) const
+{
+  auto plan = std::make_unique<Plan>();
+  plan->service = ChooseService(aExchange);
+  plan->model = ModelName(aExchange, aModelIndex);
+  plan->constraint = fleet_.rollouts.ConstraintFor(
+    plan->service, VersionAffinityKey(aExchange), timers_.Now());
+  routing::PlacementRequest& request = plan->request;
+  request.service = plan->service;
+  request.model = plan->model;
+  request.requiredVersion = plan->constraint.required;
+  request.excludedVersion = plan->constraint.excluded;
+  request.unprovenVersions = plan->constraint.unproven;
+  request.tried = aExchange.tried;
+  const auto& segments = aExchange.metadata.promptSegments;
+  if (segments.size() > 1) {
+    request.affinityKey = segments[segments.size() - 2].id;
+    for (std::size_t index = 0; index + 1 < segments.size(); ++index) {
+      request.sharedTokens += segments[index].tokens;
+    }
+  }
+  return plan;
+}
+
+routing::PlacementContext
+AttemptPlanner::Context() const
+{
+  return { fleet_.upstreams,
+           fleet_.evacuatedZones,
+           options_.zone,
+           [this](const routing::Upstream& aUpstream) {
+             return ColdStartRateLimit(aUpstream);
+           },
+           timers_.Now() };
+}
+
 std::optional<core::UpstreamId>
 AttemptPlanner::ChooseUpstream(const Exchange& aExchange,
                                std::size_t aModelIndex,
                                core::Reason& aLastReason) const
 {
-  const std::string service = ChooseService(aExchange);
-  const routing::VersionConstraint constraint = fleet_.rollouts.ConstraintFor(
-    service, VersionAffinityKey(aExchange), timers_.Now());
-  routing::PlacementRequest placement;
-  placement.service = service;
-  const std::string model = ModelName(aExchange, aModelIndex);
-  placement.model = model;
-  placement.requiredVersion = constraint.required;
-  placement.excludedVersion = constraint.excluded;
-  placement.unprovenVersions = constraint.unproven;
-  placement.tried = aExchange.tried;
-  const auto& segments = aExchange.metadata.promptSegments;
-  if (segments.size() > 1) {
-    placement.affinityKey = segments[segments.size() - 2].id;
-    for (std::size_t index = 0; index + 1 < segments.size(); ++index) {
-      placement.sharedTokens += segments[index].tokens;
+  const auto plan = MakePlan(aExchange, aModelIndex);
+  const routing::PlacementContext context = Context();
+  if (plan->constraint.exposureUsedUp) {
+    routing::PlacementRequest other = plan->request;
+    other.requiredVersion = {};
+    other.excludedVersion = plan->constraint.required;
+    if (!routing::ChooseUpstream(context, other, aLastReason)) {
+      aLastReason = core::Reason::ExposureLimit;
+      return std::nullopt;
     }
   }
-  const routing::PlacementContext view{ fleet_.upstreams,
-                                        fleet_.evacuatedZones,
-                                        options_.zone,
-                                        [this](
-                                          const routing::Upstream& aUpstream) {
-                                          return ColdStartRateLimit(aUpstream);
-                                        },
-                                        timers_.Now() };
-  auto chosen = routing::ChooseUpstream(view, placement, aLastReason);
-  if (!chosen && !constraint.required.empty()) {
+  auto chosen = routing::ChooseUpstream(context, plan->request, aLastReason);
+  if (!chosen && !plan->constraint.required.empty()) {
     // The target version has no upstream yet; use the other versions.
-    placement.requiredVersion = {};
-    chosen = routing::ChooseUpstream(view, placement, aLastReason);
+    plan->request.requiredVersion = {};
+    chosen = routing::ChooseUpstream(context, plan->request, aLastReason);
   }
   return chosen;
 }
 
+std::optional<TimePoint>
+AttemptPlanner::EndOfBackoff(const Exchange& aExchange,
+                             std::size_t aModelIndex) const
+{
+  const auto plan = MakePlan(aExchange, aModelIndex);
+  plan->request.requiredVersion = {};
+  return routing::EndOfBackoff(Context(), plan->request);
+}
+
 std::string
 ModelName(const Exchange& aExchange, std::size_t aModelIndex)
 {
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -6,7 +6,10 @@
 #include "hibiscusnotch/core/verdict.hpp"
 #include "hibiscusnotch/entry/fleet_state.hpp"
 #include "hibiscusnotch/entry/request_router.hpp"
+#include "hibiscusnotch/routing/placement.hpp"
 
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +32,10 @@
     std::size_t aModelIndex,
     core::Reason& aLastReason) const;
 
+  /// @brief As routing::EndOfBackoff, for one of the route's models.
+  std::optional<TimePoint> EndOfBackoff(const Exchange& aExchange,
+                                        std::size_t aModelIndex) const;
+
   /// @brief Running and waiting requests per slot of the service's upstreams in
   /// this zone, whose load is known best; of all its upstreams if the zone has
   /// none.
@@ -39,11 +46,26 @@
                             const Attempt& aAttempt) const;
 
 private:
+  /// What an attempt at one of the route's models needs of its upstream.
+  struct Plan
+  {
+    std::string service;
+    std::string model;
+    routing::VersionConstraint constraint;
+    routing::PlacementRequest request; ///< Refers to the other members.
+  };
+
+  std::unique_ptr<Plan> MakePlan(const Exchange& aExchange,
+                                 std::size_t aModelIndex) const;
+  routing::PlacementContext Context() const;
   double ColdStartRateLimit(const routing::Upstream& aUpstream) const;
 
   const RouterOptions& options_;
   FleetState& fleet_;
   const relay::Timers& timers_;
+  /// Shares by the upstream's name and rate, of the current membership.
+  mutable std::map<std::pair<std::string, double>, double> coldStartShares_;
+  mutable uint64_t sharesMembership_ = 0;
 };
 
 /// @brief The route's model of that index, or the caller's.
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/store/mirrored_store.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <vector>
 
 namespace hibiscusnotch::entry {
 
@@ -22,6 +23,9 @@
 // more seconds to react.
 constexpr Duration kMaxConfigurationAge{ 2'600'000 };
 constexpr Duration kGaugeInterval{ 2'000'000 };
+// Seeds that start together with this instance need a moment to read the store.
+constexpr std::size_t kMaxBootstrapSeedAttempts = 10;
+constexpr std::size_t kMaxSeedAttempts = 2;
 
 relay::ListenerOptions
 ListenerOptionsFor(const core::Endpoint& aEndpoint)
@@ -117,7 +121,7 @@
         options_.instanceName,
         { *store_, *timers_, aDependencies.storeCodec, fleet_, log_ }))
   {
-    fleet_.rollouts = routing::Rollouts(options_.sessionIdleTimeout);
+    fleet_.rollouts = routing::Rollouts(options_.rollouts);
     router_->SetListener(*callerListener_);
     log_.Write(EventNumber::InstanceStarted,
                "zone=" + options_.router.zone +
@@ -164,15 +168,30 @@
 
   store::MirroredStoreObserver StoreObserver()
   {
-    return { [this] {
-              return MirrorPeers(
-                fleet_, options_.instanceName, options_.router.zone);
-            },
+    return { [this] { return SourcePeers(); },
              [this](const std::string& aPeer, uint32_t aFailureCount) {
                fleetSync_->OnPeerUnreachable(aPeer, aFailureCount);
              } };
   }
 
+  /// The mirrors to read: those of the zone, or a seed's until the instances
+  /// are known.
+  std::vector<store::MirrorPeer> SourcePeers()
+  {
+    if (fleet_.instancesKnown) {
+      return MirrorPeers(fleet_, options_.instanceName, options_.router.zone);
+    }
+    const auto seed = SeedPeer(options_.seeds,
+                               options_.peerEndpoint,
+                               options_.instanceName,
+                               seedAttempts_++);
+    const std::size_t maxAttempts =
+      options_.sync.bootstrap ? kMaxBootstrapSeedAttempts : kMaxSeedAttempts;
+    return seed && seedAttempts_ <= maxAttempts
+             ? std::vector<store::MirrorPeer>{ *seed }
+             : std::vector<store::MirrorPeer>{};
+  }
+
   relay::ListenerObserver ReadinessObserver()
   {
     return { [this](relay::ExchangeId aId, const net::HttpRequest& aRequest) {
@@ -267,6 +286,8 @@
       metrics_->Set(observe::Gauge::ConfigurationRevision,
                     static_cast<double>(fleet_.configuration->version));
     }
+    metrics_->Set(observe::Gauge::StoreEra,
+                  static_cast<double>(fleet_.storeEra));
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
@@ -289,6 +310,7 @@
   std::unique_ptr<RolloutWriter> rolloutWriter_;
   std::optional<TimePoint> drainStarted_;
   bool lastReady_ = false;
+  std::size_t seedAttempts_ = 0;
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
+#include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace hibiscusnotch::entry {
@@ -16,6 +19,7 @@
 using store::Change;
 using store::Object;
 using store::StoreError;
+using store::StoreVersion;
 
 constexpr Duration kSweepInterval{ 250'000 };
 constexpr Duration kBootstrapListDelay{ 350'000 };     // all start within 0.3 s
@@ -25,6 +29,13 @@
 constexpr Duration kWatchTimeoutAfterChange{ 500'000 };
 constexpr uint32_t kFailuresBeforeDelete = 4; // about ten seconds
 constexpr Duration kRegisterRetryDelay{ 1'000'000 };
+// All instances that a restored store has forgotten register again within it.
+constexpr double kReregisterSpreadSeconds = 1;
+// Objects that a restored store lacks count for this time: operators and other
+// instances write them again.
+constexpr Duration kRestoredObjectHold{ 5'000'000 };
+// More changes of upstreams at once are logged as counts.
+constexpr std::size_t kMaxUpstreamLines = 4;
 
 std::string
 ErrorName(StoreError aFault)
@@ -56,7 +67,7 @@
     , dependencies_(std::move(aDependencies))
   {
     dependencies_.fleet.instances[options_.instanceName] = {
-      options_.peerEndpoint, options_.zone
+      options_.peerEndpoint, options_.zone, options_.capacity
     };
     Register();
     // Instances that start together find each other in the first list.
@@ -97,50 +108,71 @@
   }
 
 private:
-  using ObjectHandler = std::function<void(const Object&)>;
-  using RemovalHandler = std::function<void(const std::string&)>;
-  using ConfirmHandler = std::function<void(TimePoint)>;
-
-  /// Watches a kind; a list also removes the objects that it no longer
-  /// contains.
-  void Watch(
-    const std::string& aKind,
-    Duration aWatchTimeout,
-    const ObjectHandler& aOnObject,
-    const RemovalHandler& aOnRemoved,
-    ConfirmHandler aOnConfirmed = [](TimePoint) {})
+  /// What to do with the objects of one kind.
+  struct KindHandlers
   {
-    auto known = std::make_shared<std::set<std::string>>();
+    std::function<void(const Object&)> onObject;
+    std::function<void(const std::string&)> onRemoved;
+    std::function<void(TimePoint)> onConfirmed = [](TimePoint) {};
+    /// Objects that a restored store lacks are removed after this time, unless
+    /// they are written again.
+    Duration restoredHold{ 0 };
+    /// A restored store was listed; these names were known and are missing.
+    std::function<void(const std::set<std::string>&)> onRestored =
+      [](const std::set<std::string>&) {};
+  };
+
+  /// Changes that arrived together.
+  struct UpstreamChanges
+  {
+    std::size_t seen = 0;
+    std::size_t leaving = 0;
+    std::size_t gone = 0;
+    std::vector<core::LogEvent> lines; ///< Of the first ones.
+  };
+
+  struct WatchedKind
+  {
+    std::string kind;
+    KindHandlers handlers;
+    std::optional<uint64_t> era;
+    std::set<std::string> known;
+    std::set<std::string> held; ///< Missing in a restored store.
+  };
+
+  void Watch(const std::string& aKind,
+             Duration aWatchTimeout,
+             KindHandlers aHandlers)
+  {
+    auto watched = std::make_shared<WatchedKind>();
+    watched->kind = aKind;
+    watched->handlers = std::move(aHandlers);
     store::WatcherObserver observer;
-    observer.onList = [this, aKind, known, aOnObject, aOnRemoved](
-                        const std::vector<Object>& aObjects, uint64_t aAsOf) {
-      dependencies_.mirrors.MirrorOf(aKind).ApplyList(aObjects, aAsOf);
-      SchedulePublish(aKind);
-      std::set<std::string> names;
-      for (const Object& object : aObjects) {
-        names.insert(object.name);
-        aOnObject(object);
-      }
-      for (const std::string& name : *known) {
-        if (!names.contains(name)) {
-          aOnRemoved(name);
-        }
+    observer.onList = [this, watched](const std::vector<Object>& aObjects,
+                                      StoreVersion aAsOf) {
+      dependencies_.mirrors.MirrorOf(watched->kind).ApplyList(aObjects, aAsOf);
+      SchedulePublish(watched->kind);
+      OnList(*watched, aObjects, aAsOf.era);
+      if (!watched->held.empty()) {
+        dependencies_.timers.After(watched->handlers.restoredHold,
+                                   [watched] { RemoveHeld(*watched); });
       }
-      *known = std::move(names);
     };
-    observer.onChange = [this, aKind, known, aOnObject, aOnRemoved](
-                          const Change& aChange, uint64_t aAsOf) {
-      dependencies_.mirrors.MirrorOf(aKind).Apply(aChange, aAsOf);
-      SchedulePublish(aKind);
+    observer.onChange = [this, watched](const Change& aChange,
+                                        StoreVersion aAsOf) {
+      dependencies_.mirrors.MirrorOf(watched->kind).Apply(aChange, aAsOf);
+      SchedulePublish(watched->kind);
+      const std::string& name = aChange.object.name;
+      watched->held.erase(name);
       if (aChange.removed) {
-        known->erase(aChange.object.name);
-        aOnRemoved(aChange.object.name);
+        watched->known.erase(name);
+        watched->handlers.onRemoved(name);
       } else {
-        known->insert(aChange.object.name);
-        aOnObject(aChange.object);
+        watched->known.insert(name);
+        watched->handlers.onObject(aChange.object);
       }
     };
-    observer.onConfirmed = std::move(aOnConfirmed);
+    observer.onConfirmed = watched->handlers.onConfirmed;
     observer.onDisconnected = [this, aKind](StoreError aFault) {
       dependencies_.log.Write(EventNumber::StoreLost,
                               "kind=" + aKind + " why=" + ErrorName(aFault));
@@ -154,6 +186,56 @@
                                            std::move(observer)));
   }
 
+  /// Applies a list and removes the objects that it no longer contains.
+  void OnList(WatchedKind& aWatched,
+              const std::vector<Object>& aObjects,
+              uint64_t aEra)
+  {
+    const bool restored = aWatched.era && aEra > *aWatched.era;
+    if (restored) {
+      OnStoreRestored(aEra);
+    }
+    aWatched.era = aEra;
+    std::set<std::string> missing = std::move(aWatched.known);
+    aWatched.known.clear();
+    for (const Object& object : aObjects) {
+      aWatched.known.insert(object.name);
+      missing.erase(object.name);
+      aWatched.held.erase(object.name);
+      aWatched.handlers.onObject(object);
+    }
+    if (restored) {
+      aWatched.handlers.onRestored(missing);
+      if (aWatched.handlers.restoredHold > Duration::zero()) {
+        aWatched.held.merge(missing);
+        return;
+      }
+    }
+    for (const std::string& name : missing) {
+      aWatched.handlers.onRemoved(name);
+    }
+  }
+
+  static void RemoveHeld(WatchedKind& aWatched)
+  {
+    const std::set<std::string> held = std::exchange(aWatched.held, {});
+    for (const std::string& name : held) {
+      aWatched.handlers.onRemoved(name);
+    }
+  }
+
+  void OnStoreRestored(uint64_t aEra)
+  {
+    if (aEra <= dependencies_.fleet.storeEra) {
+      return; // another kind was listed first
+    }
+    dependencies_.log.Write(EventNumber::StoreRestored,
+                            "era=" + std::to_string(aEra) + " former=" +
+                              std::to_string(dependencies_.fleet.storeEra));
+    dependencies_.fleet.storeEra = aEra;
+    dependencies_.fleet.upstreams.OnStoreRestored(dependencies_.timers.Now());
+  }
+
   store::WatcherOptions OptionsFor(const std::string& aKind,
                                    Duration aWatchTimeout) const
   {
@@ -173,6 +255,7 @@
     if (scheduledPublishes_.insert(aKind).second) {
       dependencies_.timers.After(Duration::zero(), [this, aKind] {
         scheduledPublishes_.erase(aKind);
+        FlushUpstreamLines();
         dependencies_.mirrors.SetRecentOutage(AnyRecentOutage());
         dependencies_.mirrors.Publish(aKind);
       });
@@ -189,18 +272,29 @@
 
   void WatchInstances()
   {
-    Watch(
-      dependencies_.storeCodec.Kinds().instances,
-      options_.watchTimeout,
-      [this](const Object& aObject) { OnInstance(aObject); },
-      [this](const std::string& aName) {
-        if (aName == options_.instanceName) {
-          Register(); // a peer deleted it as unreachable
-        } else {
-          dependencies_.fleet.instances.erase(aName);
-        }
-      },
-      [this](TimePoint) { WatchOtherKinds(); });
+    KindHandlers handlers;
+    handlers.onObject = [this](const Object& aObject) { OnInstance(aObject); };
+    handlers.onRemoved = [this](const std::string& aName) {
+      if (aName == options_.instanceName) {
+        Register(); // a peer deleted it as unreachable
+      } else {
+        dependencies_.fleet.instances.erase(aName);
+        ++dependencies_.fleet.membership;
+      }
+    };
+    handlers.onConfirmed = [this](TimePoint) { WatchOtherKinds(); };
+    handlers.restoredHold = kRestoredObjectHold;
+    handlers.onRestored = [this](const std::set<std::string>& aMissing) {
+      if (aMissing.contains(options_.instanceName)) {
+        std::uniform_real_distribution<double> spread(0,
+                                                      kReregisterSpreadSeconds);
+        dependencies_.timers.After(core::FromSeconds(spread(random_)),
+                                   [this] { Register(); });
+      }
+    };
+    Watch(dependencies_.storeCodec.Kinds().instances,
+          options_.watchTimeout,
+          std::move(handlers));
   }
 
   /// Watches the other kinds once it is known which peers have mirrors.
@@ -209,54 +303,110 @@
     if (watchers_.size() > 1) {
       return;
     }
-    const StoreKinds& kinds = dependencies_.storeCodec.Kinds();
-    configurationWatcher_ = watchers_.size();
-    Watch(
-      kinds.configuration,
-      options_.configurationWatchTimeout,
-      [this](const Object& aObject) { OnConfiguration(aObject); },
-      [](const std::string&) {},
-      [this](TimePoint aTime) {
-        dependencies_.fleet.configurationConfirmedAt =
-          std::max(dependencies_.fleet.configurationConfirmedAt, aTime);
-        dependencies_.mirrors.ConfirmUpTo(aTime);
-        // Peers poll often until they see this.
-        dependencies_.mirrors.SetConnected(true);
-      });
+    dependencies_.fleet.instancesKnown = true;
+    WatchConfiguration();
     WatchUpstreams();
-    Watch(
-      kinds.rollouts,
-      options_.watchTimeout,
-      [this](const Object& aObject) { OnRollout(aObject); },
-      [this](const std::string& aName) {
-        dependencies_.fleet.rollouts.Remove(aName);
-      });
-    Watch(
-      kinds.evacuations,
-      options_.watchTimeout,
-      [this](const Object& aObject) { SetZoneEvacuated(aObject.name, true); },
-      [this](const std::string& aName) { SetZoneEvacuated(aName, false); });
+    WatchRollouts();
+    WatchEvacuations();
+  }
+
+  void WatchConfiguration()
+  {
+    const std::string kind = dependencies_.storeCodec.Kinds().configuration;
+    configurationWatcher_ = watchers_.size();
+    KindHandlers handlers;
+    handlers.onObject = [this](const Object& aObject) {
+      OnConfiguration(aObject);
+    };
+    handlers.onRemoved = [](const std::string&) {}; // the last one stays
+    handlers.onConfirmed = [this, kind](TimePoint aTime) {
+      TimePoint& confirmedAt = dependencies_.fleet.configurationConfirmedAt;
+      confirmedAt = std::max(confirmedAt, aTime);
+      // Peers poll often until they see this.
+      dependencies_.mirrors.SetConnected(true);
+      dependencies_.mirrors.ConfirmUpTo(kind, aTime);
+    };
+    Watch(kind, options_.configurationWatchTimeout, std::move(handlers));
+  }
+
+  void WatchRollouts()
+  {
+    KindHandlers handlers;
+    handlers.onObject = [this](const Object& aObject) { OnRollout(aObject); };
+    handlers.onRemoved = [this](const std::string& aName) {
+      dependencies_.fleet.rollouts.Remove(aName);
+    };
+    handlers.restoredHold = kRestoredObjectHold;
+    Watch(dependencies_.storeCodec.Kinds().rollouts,
+          options_.watchTimeout,
+          std::move(handlers));
+  }
+
+  void WatchEvacuations()
+  {
+    KindHandlers handlers;
+    handlers.onObject = [this](const Object& aObject) {
+      SetZoneEvacuated(aObject.name, true);
+    };
+    handlers.onRemoved = [this](const std::string& aName) {
+      SetZoneEvacuated(aName, false);
+    };
+    handlers.restoredHold = kRestoredObjectHold;
+    Watch(dependencies_.storeCodec.Kinds().evacuations,
+          options_.watchTimeout,
+          std::move(handlers));
   }
 
   void WatchUpstreams()
   {
     const std::size_t row = watchers_.size();
-    Watch(
-      dependencies_.storeCodec.Kinds().upstreams,
-      options_.watchTimeout,
-      [this](const Object& aObject) {
-        dependencies_.fleet.upstreamsKnown = true;
-        OnUpstream(aObject);
-      },
-      [this, row](const std::string& aName) {
-        const TimePoint now = dependencies_.timers.Now();
-        const bool mayReturn = watchers_[row]->HadRecentOutage(now);
-        dependencies_.log.Write(EventNumber::UpstreamGone,
-                                "upstream=" + aName +
-                                  " may_return=" + (mayReturn ? "yes" : "no"));
-        dependencies_.fleet.upstreams.Remove(aName, mayReturn, now);
-      },
-      [this](TimePoint) { dependencies_.fleet.upstreamsKnown = true; });
+    KindHandlers handlers;
+    handlers.onObject = [this](const Object& aObject) {
+      dependencies_.fleet.upstreamsKnown = true;
+      OnUpstream(aObject);
+    };
+    handlers.onRemoved = [this, row](const std::string& aName) {
+      const TimePoint now = dependencies_.timers.Now();
+      const bool mayReturn = watchers_[row]->HadRecentOutage(now);
+      ++upstreamChanges_.gone;
+      LogUpstream(EventNumber::UpstreamGone, [&] {
+        return "upstream=" + aName +
+               " may_return=" + (mayReturn ? "yes" : "no");
+      });
+      dependencies_.fleet.upstreams.Remove(aName, mayReturn, now);
+    };
+    handlers.onConfirmed = [this](TimePoint) {
+      dependencies_.fleet.upstreamsKnown = true;
+    };
+    Watch(dependencies_.storeCodec.Kinds().upstreams,
+          options_.watchTimeout,
+          std::move(handlers));
+  }
+
+  /// Keeps the line until all changes that arrived together are applied.
+  template<class Detail>
+  void LogUpstream(EventNumber aNumber, const Detail& aDetail)
+  {
+    if (upstreamChanges_.lines.size() < kMaxUpstreamLines) {
+      upstreamChanges_.lines.push_back({ aNumber, aDetail() });
+    }
+  }
+
+  void FlushUpstreamLines()
+  {
+    const UpstreamChanges changes = std::exchange(upstreamChanges_, {});
+    if (changes.seen + changes.gone > kMaxUpstreamLines) {
+      dependencies_.log.Write(
+        EventNumber::UpstreamsChanged,
+        "seen=" + std::to_string(changes.seen) +
+          " leaving=" + std::to_string(changes.leaving) +
+          " gone=" + std::to_string(changes.gone) + " total=" +
+          std::to_string(dependencies_.fleet.upstreams.Rows().size()));
+      return;
+    }
+    for (const core::LogEvent& line : changes.lines) {
+      dependencies_.log.Write(line.number, line.detail);
+    }
   }
 
   void LogUnreadable(const std::string& aKind,
@@ -303,13 +453,15 @@
       dependencies_.fleet.upstreams.Remove(aObject.name, false, now);
       return;
     }
-    dependencies_.log.Write(
-      EventNumber::UpstreamSeen,
-      "upstream=" + entry->name + " service=" + entry->service +
-        " zone=" + entry->zone + " software=" + entry->softwareVersion +
-        " leaving=" + (entry->leaving ? "yes" : "no") +
-        " cold_ms=" + std::to_string(entry->coldRemaining.count() / 1000) +
-        " revision=" + std::to_string(aObject.revision));
+    ++upstreamChanges_.seen;
+    upstreamChanges_.leaving += entry->leaving ? 1 : 0;
+    LogUpstream(EventNumber::UpstreamSeen, [&] {
+      return "upstream=" + entry->name + " service=" + entry->service +
+             " zone=" + entry->zone + " software=" + entry->softwareVersion +
+             " leaving=" + (entry->leaving ? "yes" : "no") +
+             " cold_ms=" + std::to_string(entry->coldRemaining.count() / 1000) +
+             " revision=" + std::to_string(aObject.revision);
+    });
     dependencies_.fleet.upstreams.Apply(*entry, now);
   }
 
@@ -326,8 +478,10 @@
       "service=" + order->service + " target=" + order->target +
         " state=" + std::to_string(static_cast<int>(order->state)) +
         " revision=" + std::to_string(order->revision));
-    dependencies_.fleet.rollouts.Apply(
-      *order, dependencies_.timers.Now(), dependencies_.fleet.InstanceCount());
+    ApplyRolloutOrder(*order,
+                      options_.instanceName,
+                      dependencies_.fleet,
+                      dependencies_.timers.Now());
   }
 
   void SetZoneEvacuated(const std::string& aZone, bool aEvacuated)
@@ -344,16 +498,19 @@
 
   void OnInstance(const Object& aObject)
   {
-    InstanceInfo row;
+    InstanceInfo instance;
     try {
-      row.endpoint.address = aObject.spec.at("ip").get<std::string>();
-      row.endpoint.port = aObject.spec.at("port").get<uint16_t>();
-      row.zone = aObject.spec.at("zone").get<std::string>();
+      instance.endpoint.address = aObject.spec.at("ip").get<std::string>();
+      instance.endpoint.port = aObject.spec.at("port").get<uint16_t>();
+      instance.zone = aObject.spec.at("zone").get<std::string>();
+      instance.capacity = aObject.spec.value("capacity", uint32_t{ 0 });
     } catch (const nlohmann::json::exception& aError) {
       LogUnreadable(
         dependencies_.storeCodec.Kinds().instances, aObject, aError.what());
+      return;
     }
-    dependencies_.fleet.instances[aObject.name] = std::move(row);
+    dependencies_.fleet.instances[aObject.name] = std::move(instance);
+    ++dependencies_.fleet.membership;
   }
 
   void Register()
@@ -362,7 +519,8 @@
     row.name = options_.instanceName;
     row.spec = { { "ip", options_.peerEndpoint.address },
                  { "port", options_.peerEndpoint.port },
-                 { "zone", options_.zone } };
+                 { "zone", options_.zone },
+                 { "capacity", options_.capacity } };
     dependencies_.directStore.Create(
       dependencies_.storeCodec.Kinds().instances,
       row,
@@ -394,6 +552,8 @@
   std::vector<std::unique_ptr<store::Watcher>> watchers_;
   std::size_t configurationWatcher_ = SIZE_MAX;
   std::set<std::string> scheduledPublishes_;
+  UpstreamChanges upstreamChanges_;
+  std::minstd_rand random_{ std::random_device{}() };
   bool leaving_ = false;
 };
 
--- a/src/hibiscusnotch/entry/load_aggregator.cpp
+++ b/src/hibiscusnotch/entry/load_aggregator.cpp
@@ -3,9 +3,41 @@
 #include "hibiscusnotch/core/rendezvous.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hibiscusnotch::entry {
 
+namespace {
+
+void
+Add(LoadTable& aTotal, const LoadTable& aLoad)
+{
+  for (const auto& [upstream, load] : aLoad) {
+    UpstreamLoad& total = aTotal[upstream];
+    total.requests += load.requests;
+    total.promptTokens += load.promptTokens;
+  }
+}
+
+/// Takes away what was added before.
+void
+Subtract(LoadTable& aTotal, const LoadTable& aLoad)
+{
+  for (const auto& [upstream, load] : aLoad) {
+    const auto found = aTotal.find(upstream);
+    if (found == aTotal.end()) {
+      continue; // an idle upstream, taken out with another report
+    }
+    found->second.requests -= load.requests;
+    found->second.promptTokens -= load.promptTokens;
+    if (found->second.requests == 0 && found->second.promptTokens == 0) {
+      aTotal.erase(found);
+    }
+  }
+}
+
+} // namespace
+
 uint32_t
 UpstreamHash(std::string_view aName)
 {
@@ -26,29 +58,47 @@
   return load;
 }
 
+void
+LoadAggregator::DropExpired(TimePoint aNow)
+{
+  if (aNow < nextExpiry_) {
+    return;
+  }
+  nextExpiry_ = aNow + kMaxReportAge;
+  for (auto next = reports_.begin(); next != reports_.end();) {
+    const TimedReport& report = next->second;
+    if (aNow - report.at > kMaxReportAge) {
+      Subtract(total_, report.load);
+      next = reports_.erase(next);
+    } else {
+      nextExpiry_ =
+        std::min(nextExpiry_, report.at + kMaxReportAge + Duration{ 1 });
+      ++next;
+    }
+  }
+}
+
 void
 LoadAggregator::SetReport(std::string_view aSender,
                           const LoadTable& aLoad,
                           TimePoint aNow)
 {
-  std::erase_if(reports_, [aNow](const auto& aReport) {
-    return aNow - aReport.second.at > kMaxReportAge;
-  });
-  reports_[std::string(aSender)] = { aLoad, aNow };
+  DropExpired(aNow);
+  TimedReport& report = reports_[std::string(aSender)];
+  Subtract(total_, report.load);
+  report = { aLoad, aNow };
+  Add(total_, report.load);
+  nextExpiry_ = std::min(nextExpiry_, aNow + kMaxReportAge + Duration{ 1 });
 }
 
 LoadTable
-LoadAggregator::TotalExcluding(std::string_view aReceiver, TimePoint aNow) const
+LoadAggregator::TotalExcluding(std::string_view aReceiver, TimePoint aNow)
 {
-  LoadTable total;
-  for (const auto& [sender, report] : reports_) {
-    if (sender == aReceiver || aNow - report.at > kMaxReportAge) {
-      continue;
-    }
-    for (const auto& [upstream, load] : report.load) {
-      total[upstream].requests += load.requests;
-      total[upstream].promptTokens += load.promptTokens;
-    }
+  DropExpired(aNow);
+  LoadTable total = total_;
+  const auto own = reports_.find(aReceiver);
+  if (own != reports_.end()) {
+    Subtract(total, own->second.load);
   }
   return total;
 }
@@ -70,22 +120,58 @@
   }
 }
 
+namespace {
+
+enum class TieOrder
+{
+  Ascending,
+  Descending,
+};
+
 std::vector<std::string>
-AggregatorRanking(const FleetState& aFleet, std::string_view aZone)
+RankByCapacity(const FleetState& aFleet,
+               std::string_view aZone,
+               TieOrder aTieOrder)
 {
-  std::vector<std::pair<uint64_t, std::string>> ranked;
+  struct Ranked
+  {
+    uint32_t capacity = 0;
+    uint64_t hash = 0;
+    const std::string* name = nullptr;
+  };
+  std::vector<Ranked> ranked;
   for (const auto& [name, instance] : aFleet.instances) {
     if (instance.zone == aZone) {
-      ranked.emplace_back(core::StableHash(name), name);
+      const uint64_t hash = core::StableHash(name);
+      ranked.push_back({ instance.capacity,
+                         aTieOrder == TieOrder::Descending ? hash : ~hash,
+                         &name });
     }
   }
-  std::ranges::sort(ranked, std::greater<>());
+  std::ranges::sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
+    return std::tie(aLeft.capacity, aLeft.hash, *aLeft.name) >
+           std::tie(aRight.capacity, aRight.hash, *aRight.name);
+  });
   std::vector<std::string> names;
   names.reserve(ranked.size());
-  for (auto& [weight, name] : ranked) {
-    names.push_back(std::move(name));
+  for (const Ranked& one : ranked) {
+    names.push_back(*one.name);
   }
   return names;
 }
 
+} // namespace
+
+std::vector<std::string>
+MirrorRanking(const FleetState& aFleet, std::string_view aZone)
+{
+  return RankByCapacity(aFleet, aZone, TieOrder::Descending);
+}
+
+std::vector<std::string>
+AggregatorRanking(const FleetState& aFleet, std::string_view aZone)
+{
+  return RankByCapacity(aFleet, aZone, TieOrder::Ascending);
+}
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/load_aggregator_test.cpp
+++ b/src/hibiscusnotch/entry/load_aggregator_test.cpp
@@ -76,3 +76,46 @@
   CHECK(AggregatorRanking(fleet, "west").size() == 3);
   CHECK(AggregatorRanking(fleet, "none").empty());
 }
+
+TEST_CASE("the running total of sixty members equals the sum of their reports")
+{
+  // The aggregator of a large zone replies to each member several times a
+  // second; its total is kept and not summed anew.
+  LoadAggregator aggregator;
+  std::map<std::string, LoadTable> reports;
+  std::map<std::string, TimePoint> at;
+  TimePoint now = kNow;
+  for (int step = 0; step < 2000; ++step) {
+    now += Duration{ 20'000 + 1000 * (step % 7) };
+    const std::string sender = "i" + std::to_string(step * 31 % 60);
+    if (step % 400 > 350) {
+      continue; // some fall silent
+    }
+    LoadTable load;
+    for (int entry = 0; entry < step % 5; ++entry) {
+      load[static_cast<uint32_t>((step + entry * 13) % 64)] = {
+        1U + static_cast<uint32_t>(step % 3), static_cast<uint32_t>(step % 900)
+      };
+    }
+    aggregator.SetReport(sender, load, now);
+    reports[sender] = load;
+    at[sender] = now;
+    const std::string receiver = "i" + std::to_string(step * 17 % 60);
+    LoadTable expected;
+    for (const auto& [name, report] : reports) {
+      if (name == receiver || now - at[name] > LoadAggregator::kMaxReportAge) {
+        continue;
+      }
+      for (const auto& [upstream, one] : report) {
+        expected[upstream].requests += one.requests;
+        expected[upstream].promptTokens += one.promptTokens;
+      }
+    }
+    const LoadTable total = aggregator.TotalExcluding(receiver, now);
+    REQUIRE(total.size() == expected.size());
+    for (const auto& [upstream, one] : expected) {
+      REQUIRE(total.at(upstream).requests == one.requests);
+      REQUIRE(total.at(upstream).promptTokens == one.promptTokens);
+    }
+  }
+}
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -312,7 +312,13 @@
   void WaitForUpstream(Exchange& aExchange, Reason aReason)
   {
     const TimePoint now = timers_.Now();
-    if (now >= aExchange.waitDeadline) {
+    const auto backoffEnd =
+      planner_.EndOfBackoff(aExchange, aExchange.modelIndex);
+    if (backoffEnd && *backoffEnd > aExchange.waitDeadline) {
+      GiveUp(aExchange, Reason::UpstreamBackoff, *backoffEnd - now);
+      return;
+    }
+    if (now >= aExchange.waitDeadline || aReason == Reason::ExposureLimit) {
       GiveUp(aExchange, aReason);
       return;
     }
@@ -373,6 +379,7 @@
                    routing::UpstreamTable::Load(upstream, now))) +
                  ConfigurationAge());
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
+    fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
     const ExchangeId id = aExchange.id;
     relay::CallObserver observer;
@@ -434,6 +441,7 @@
     attempt.metadata = headerCodec_.ReadResponse(aHead);
     const TimePoint now = timers_.Now();
     fleet_.upstreams.RecordReachable(attempt.upstream);
+    RecordUpstreamWishes(attempt, now);
     if (attempt.metadata.load) {
       fleet_.upstreams.RecordReportedLoad(
         attempt.upstream, *attempt.metadata.load, now);
@@ -456,6 +464,28 @@
     }
   }
 
+  /// Records that the upstream is leaving, or wants no requests for a while.
+  void RecordUpstreamWishes(const Attempt& aAttempt, TimePoint aNow)
+  {
+    if (aAttempt.metadata.wrongUpstream) {
+      return; // another upstream's response
+    }
+    const routing::Upstream* upstream =
+      fleet_.upstreams.Find(aAttempt.upstream);
+    if (aAttempt.metadata.leaving && upstream && !upstream->announcedLeaving) {
+      fleet_.upstreams.RecordLeaving(aAttempt.upstream, aNow);
+      log_.Write(EventNumber::UpstreamLeaving,
+                 "upstream=" + aAttempt.upstreamName);
+    }
+    if (aAttempt.metadata.backoff) {
+      fleet_.upstreams.RecordBackoff(aAttempt.upstream,
+                                     aNow + *aAttempt.metadata.backoff);
+      log_.Write(EventNumber::UpstreamBackoff,
+                 "upstream=" + aAttempt.upstreamName +
+                   " for_ms=" + FormatMilliseconds(*aAttempt.metadata.backoff));
+    }
+  }
+
   /// True for a success that is proven to be the upstream's response to this
   /// request.
   bool IsValidSuccess(const Exchange& aExchange, const Attempt& aAttempt) const
@@ -773,7 +803,10 @@
   }
 
   /// Sends the final response when no further attempt is possible.
-  void GiveUp(Exchange& aExchange, Reason aReason)
+  /// @param aRetryAfter For the caller of a request that was not executed.
+  void GiveUp(Exchange& aExchange,
+              Reason aReason,
+              Duration aRetryAfter = kRetryAfterBusy)
   {
     if (aExchange.responseStarted) {
       AbortResponse(aExchange, aReason);
@@ -783,7 +816,7 @@
     } else if (aExchange.mayHaveExecuted) {
       Refuse(aExchange, kBadGateway, aReason, Duration::zero());
     } else {
-      Refuse(aExchange, kUnavailable, aReason, kRetryAfterBusy);
+      Refuse(aExchange, kUnavailable, aReason, aRetryAfter);
     }
   }
 
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -59,6 +59,11 @@
     metadata.sealed = !aHead.Header("seal").empty();
     metadata.notExecuted = !aHead.Header("not-run").empty();
     metadata.wrongUpstream = aHead.status == 421;
+    metadata.leaving = !aHead.Header("leaving").empty();
+    if (!aHead.Header("backoff").empty()) {
+      metadata.backoff =
+        Duration{ std::stoll(std::string(aHead.Header("backoff"))) * 1000 };
+    }
     if (!aHead.Header("confidence").empty()) {
       metadata.confidence = std::stoi(std::string(aHead.Header("confidence")));
     }
@@ -677,3 +682,128 @@
   CHECK(fixture.client.sent.size() <= 100 + 100 * 0.2 + 5);
   CHECK(fixture.client.sent.size() > 110);
 }
+
+TEST_CASE("an upstream that announces its leaving gets no new request")
+{
+  // On any response: a success, a refusal, the head of a stream.
+  for (const auto& [route, status] : std::vector<std::pair<std::string, int>>{
+         { "unsafe", 200 }, { "unsafe", 503 }, { "stream", 200 } }) {
+    Fixture fixture;
+    fixture.Request(route);
+    const std::string first = fixture.Message(0).substr(0, 2);
+    fixture.client.Head(
+      0, fixture.Head(status, { { "leaving", "1" }, { "not-run", "1" } }));
+    fixture.client.End(0, CallOutcome::Complete);
+    for (int request = 0; request < 12; ++request) {
+      fixture.Request("unsafe");
+    }
+    for (std::size_t send = 1; send < fixture.client.sent.size(); ++send) {
+      CHECK(fixture.Message(send).substr(0, 2) != first);
+    }
+  }
+}
+
+TEST_CASE("a stream of a leaving upstream runs to its end")
+{
+  Fixture fixture;
+  const auto id = fixture.Request("stream");
+  fixture.client.Head(0, fixture.Head(200, { { "leaving", "1" } }));
+  fixture.client.Body(0, "id: 1\ndata: x\n\n");
+  CHECK(fixture.client.IsOpen(0));
+  fixture.client.End(0, CallOutcome::Complete);
+  CHECK(fixture.Response(id).finished);
+}
+
+TEST_CASE("another upstream's leaving at a reused address does not count")
+{
+  Fixture fixture;
+  fixture.Request("unsafe");
+  fixture.Reply(0, 421, { { "leaving", "1" } });
+  for (const auto& [upstreamId, upstream] : fixture.fleet.upstreams.Rows()) {
+    CHECK_FALSE(upstream.announcedLeaving);
+  }
+}
+
+TEST_CASE("an upstream that asks for a pause gets nothing on any path")
+{
+  Fixture fixture;
+  fixture.Request("safe");
+  const std::string busy = fixture.Message(0).substr(0, 2);
+  fixture.Reply(0, 503, { { "not-run", "1" }, { "backoff", "2000" } });
+  const std::size_t before = fixture.client.sent.size(); // retried elsewhere
+  CHECK(before == 2);
+  CHECK(fixture.Message(1).substr(0, 2) != busy);
+  fixture.timers.Advance(kSecond + kSecond / 10); // a slow attempt's retry
+  for (const char* route : { "safe", "unsafe", "stream", "sized" }) {
+    fixture.Request(route);
+  }
+  fixture.client.End(2, CallOutcome::ConnectionLost); // a resumed stream's path
+  for (std::size_t send = 1; send < fixture.client.sent.size(); ++send) {
+    CHECK(fixture.Message(send).substr(0, 2) != busy);
+  }
+  fixture.timers.Advance(kSecond);
+  for (int request = 0; request < 8; ++request) {
+    fixture.Request("unsafe");
+  }
+  bool used = false;
+  for (std::size_t send = before; send < fixture.client.sent.size(); ++send) {
+    used = used || fixture.Message(send).substr(0, 2) == busy;
+  }
+  CHECK(used); // the pause is over
+}
+
+TEST_CASE("if all upstreams want a pause, the caller is told when to return")
+{
+  Fixture fixture;
+  for (const auto& [id, upstream] : fixture.fleet.upstreams.Rows()) {
+    fixture.fleet.upstreams.RecordBackoff(
+      id, fixture.timers.Now() + (3 + id.value) * kSecond);
+  }
+  const auto id = fixture.Request("unsafe");
+  // At once, not at the end of its wait or deadline.
+  CHECK(fixture.Response(id).status == 503);
+  CHECK(Contains(fixture.Response(id).body, "not_run"));
+  CHECK(fixture.Response(id).Header("retry") == "3000000");
+  CHECK(fixture.client.sent.empty());
+  // A pause that ends within the request's wait is waited for.
+  Fixture soon;
+  for (const auto& [upstreamId, upstream] : soon.fleet.upstreams.Rows()) {
+    soon.fleet.upstreams.RecordBackoff(upstreamId,
+                                       soon.timers.Now() + kSecond / 10);
+  }
+  soon.Request("unsafe");
+  soon.timers.Advance(kSecond / 5);
+  CHECK(soon.client.sent.size() == 1);
+}
+
+TEST_CASE("only the target of an order is left: exposure is limited, the rest "
+          "is refused at once")
+{
+  // All other versions leave while the order's canary phase lasts.
+  Fixture fixture;
+  routing::RolloutOrder order;
+  order.service = "app";
+  order.target = "v2";
+  order.duration = 20 * kSecond;
+  order.creationRevision = 3;
+  fixture.fleet.rollouts.Apply(order, fixture.timers.Now(), { 1, 2 });
+  fixture.timers.Advance(2 * kSecond);
+  for (const char* name : { "u1", "u2", "u3", "u4" }) {
+    fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+  }
+  routing::UpstreamEntry entry;
+  entry.name = "n1";
+  entry.service = "app";
+  entry.zone = "east";
+  entry.softwareVersion = "v2";
+  entry.slots = 8;
+  fixture.fleet.upstreams.Apply(entry, fixture.timers.Now());
+  fixture.Apply();
+  std::size_t refused = 0;
+  for (int request = 0; request < 400; ++request) {
+    const auto id = fixture.Request("unsafe");
+    refused += fixture.Response(id).status == 503 ? 1 : 0;
+  }
+  CHECK(fixture.client.sent.size() == 2);
+  CHECK(refused > 0); // canary sessions, without a wait
+}
--- a/src/hibiscusnotch/entry/rollout_writer.cpp
+++ b/src/hibiscusnotch/entry/rollout_writer.cpp
@@ -120,6 +120,9 @@
              const RolloutOrder& aOrder,
              RolloutState aState)
   {
+    if (aOrder.era < dependencies_.store.Era()) {
+      return; // its revision may name another object in the restored store
+    }
     pendingWrites_[aService].inFlight = true;
     Object object;
     object.name = aService;
@@ -182,9 +185,8 @@
     std::string reason;
     if (const auto order =
           dependencies_.storeCodec.ReadRollout(aObject, reason)) {
-      dependencies_.fleet.rollouts.Apply(*order,
-                                         dependencies_.timers.Now(),
-                                         dependencies_.fleet.InstanceCount());
+      ApplyRolloutOrder(
+        *order, instanceName_, dependencies_.fleet, dependencies_.timers.Now());
     }
   }
 
--- a/src/hibiscusnotch/entry/rollout_writer_test.cpp
+++ b/src/hibiscusnotch/entry/rollout_writer_test.cpp
@@ -180,3 +180,19 @@
     CHECK(call.verb == "status"); // nothing was written, so no read-back
   }
 }
+
+TEST_CASE("an order of the former era is not written to a restored store")
+{
+  // Its revision may name another object there.
+  Fixture fixture;
+  fixture.Order(3);
+  fixture.store.era = 1;
+  fixture.timers.Advance(5 * kSecond);
+  CHECK(fixture.store.objects.empty());
+  RolloutOrder again = *fixture.Read(2, RolloutState::Ordered);
+  again.era = 1;
+  fixture.fleet.rollouts.Apply(again, fixture.timers.Now());
+  fixture.timers.Advance(kSecond);
+  REQUIRE(fixture.store.objects.size() == 1);
+  CHECK(fixture.store.objects[0].object.revision == 2);
+}
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -36,6 +36,8 @@
                      "Revision of the configuration in force" },
   MetricDescription{ "hibiscusnotch_live_instances",
                      "Instances that count as alive here" },
+  MetricDescription{ "hibiscusnotch_store_era",
+                     "Era of the store; rises when it is restored" },
 };
 constexpr std::array kCounters{
   MetricDescription{ "hibiscusnotch_attempts_total",
--- a/src/hibiscusnotch/relay/fetcher.cpp
+++ b/src/hibiscusnotch/relay/fetcher.cpp
@@ -14,10 +14,12 @@
   const FetchId id = ++lastId_;
   CallObserver observer;
   observer.onHead = [this, id](const ResponseHead& aHead) {
-    pending_.at(id).status = aHead.status;
+    FetchedResponse& response = pending_.at(id).response;
+    response.status = aHead.status;
+    response.headers = aHead.headers;
   };
   observer.onBody = [this, id](std::string_view aBytes) {
-    pending_.at(id).body.append(aBytes);
+    pending_.at(id).response.body.append(aBytes);
   };
   observer.onEnd = [this, id](CallOutcome aEnd, std::string_view) {
     End(id, aEnd == CallOutcome::Complete);
@@ -44,8 +46,11 @@
   }
   timers_.Cancel(pending.mapped().timer);
   client_.Cancel(pending.mapped().call);
-  pending.mapped().done(aComplete ? pending.mapped().status : 0,
-                        pending.mapped().body);
+  FetchedResponse& response = pending.mapped().response;
+  if (!aComplete) {
+    response.status = 0;
+  }
+  pending.mapped().done(response);
 }
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/store/mirror.cpp
+++ b/src/hibiscusnotch/store/mirror.cpp
@@ -11,8 +11,11 @@
 
 // A peer that lags further behind lists again.
 constexpr std::size_t kMaxLogEntries = 512;
+// Readers of one mirror are rarely at more different versions at once.
+constexpr std::size_t kMaxEncodedBatches = 16;
 constexpr std::string_view kPathPrefix = "/mirror/";
 constexpr std::string_view kSinceParameter = "?since=";
+constexpr std::string_view kEraParameter = "&era=";
 constexpr std::string_view kWaitParameter = "&wait_ms=";
 
 json
@@ -45,6 +48,43 @@
   return bytes;
 }
 
+json
+EncodeChange(const Change& aChange)
+{
+  return json::array({ aChange.removed, EncodeObject(aChange.object) });
+}
+
+std::string
+EncodeItems(const std::vector<Object>& aItems)
+{
+  json items = json::array();
+  for (const Object& object : aItems) {
+    items.push_back(EncodeObject(object));
+  }
+  return ToCbor(items);
+}
+
+std::string
+EncodeChanges(const std::vector<Change>& aChanges)
+{
+  json changes = json::array();
+  for (const Change& change : aChanges) {
+    changes.push_back(EncodeChange(change));
+  }
+  return ToCbor(changes);
+}
+
+MirrorResponseHead
+DecodeHead(const json& aMessage)
+{
+  MirrorResponseHead head;
+  head.asOf.era = aMessage.at(0).get<uint64_t>();
+  head.asOf.revision = aMessage.at(1).get<uint64_t>();
+  head.age = Duration{ aMessage.at(2).get<int64_t>() };
+  head.recentOutage = aMessage.at(3).get<bool>();
+  return head;
+}
+
 template<class Number>
 bool
 ParseNumber(std::string_view aText, Number& aNumber)
@@ -58,20 +98,35 @@
 } // namespace
 
 void
-Mirror::AppendToLog(const Change& aChange, uint64_t aAsOf)
+Mirror::AppendToLog(const Change& aChange, uint64_t aRevision)
 {
-  changeLog_.push_back({ aAsOf, aChange });
+  changeLog_.push_back({ aRevision, aChange });
   while (changeLog_.size() > kMaxLogEntries) {
-    compactedRevision_ = changeLog_.front().asOf;
+    compactedRevision_ = changeLog_.front().revision;
     changeLog_.pop_front();
   }
 }
 
 void
-Mirror::ApplyList(const std::vector<Object>& aObjects, uint64_t aAsOf)
+Mirror::DropEncodings()
 {
+  encodedItems_.clear();
+  encodedChanges_.clear();
+}
+
+void
+Mirror::ApplyList(const std::vector<Object>& aObjects, StoreVersion aAsOf)
+{
+  DropEncodings();
+  if (aAsOf.era != asOf_.era) {
+    // Revisions of the former era may name other changes now.
+    objects_.clear();
+    changeLog_.clear();
+    hasSnapshot_ = false;
+    asOf_ = aAsOf;
+  }
   if (!hasSnapshot_) {
-    compactedRevision_ = aAsOf;
+    compactedRevision_ = aAsOf.revision;
   }
   std::set<std::string> names;
   for (const Object& object : aObjects) {
@@ -79,7 +134,7 @@
     const auto found = objects_.find(object.name);
     if (found == objects_.end() || found->second.revision != object.revision) {
       objects_[object.name] = object;
-      AppendToLog({ object, false }, aAsOf);
+      AppendToLog({ object, false }, aAsOf.revision);
     }
   }
   for (auto found = objects_.begin(); found != objects_.end();) {
@@ -87,7 +142,7 @@
       ++found;
       continue;
     }
-    AppendToLog({ found->second, true }, aAsOf);
+    AppendToLog({ found->second, true }, aAsOf.revision);
     found = objects_.erase(found);
   }
   hasSnapshot_ = true;
@@ -95,17 +150,31 @@
 }
 
 void
-Mirror::Apply(const Change& aChange, uint64_t aAsOf)
+Mirror::Apply(const Change& aChange, StoreVersion aAsOf)
 {
+  DropEncodings();
   if (aChange.removed) {
     objects_.erase(aChange.object.name);
   } else {
     objects_[aChange.object.name] = aChange.object;
   }
-  AppendToLog(aChange, aAsOf);
+  AppendToLog(aChange, aAsOf.revision);
   asOf_ = std::max(asOf_, aAsOf);
 }
 
+bool
+Mirror::HasHistorySince(StoreVersion aVersion) const
+{
+  return hasSnapshot_ && aVersion.era == asOf_.era &&
+         aVersion.revision >= compactedRevision_;
+}
+
+bool
+Mirror::IsNewerThan(StoreVersion aVersion) const
+{
+  return asOf_ > aVersion;
+}
+
 ListPage
 Mirror::List() const
 {
@@ -118,29 +187,55 @@
 }
 
 std::optional<ChangeBatch>
-Mirror::ChangesSince(uint64_t aRevision) const
+Mirror::ChangesSince(StoreVersion aVersion) const
 {
-  if (!hasSnapshot_ || aRevision < compactedRevision_) {
+  if (!HasHistorySince(aVersion)) {
     return std::nullopt;
   }
   ChangeBatch batch;
-  batch.asOf = std::max(asOf_, aRevision);
+  batch.asOf = std::max(asOf_, aVersion);
   for (const LogEntry& entry : changeLog_) {
-    if (entry.asOf > aRevision) {
+    if (entry.revision > aVersion.revision) {
       batch.changes.push_back(entry.change);
     }
   }
   return batch;
 }
 
+const std::string&
+Mirror::EncodedItems()
+{
+  if (encodedItems_.empty()) {
+    encodedItems_ = EncodeItems(List().items);
+  }
+  return encodedItems_;
+}
+
+const std::string*
+Mirror::EncodedChangesSince(StoreVersion aVersion)
+{
+  if (!HasHistorySince(aVersion)) {
+    return nullptr;
+  }
+  if (encodedChanges_.size() >= kMaxEncodedBatches) {
+    encodedChanges_.clear();
+  }
+  std::string& encoded = encodedChanges_[aVersion.revision];
+  if (encoded.empty()) {
+    encoded = EncodeChanges(ChangesSince(aVersion)->changes);
+  }
+  return &encoded;
+}
+
 std::string
 FormatMirrorTarget(const MirrorQuery& aQuery)
 {
   std::string target = std::string(kPathPrefix) + aQuery.kind;
   if (aQuery.since) {
-    target += std::string(kSinceParameter) + std::to_string(*aQuery.since) +
-              std::string(kWaitParameter) +
-              std::to_string(aQuery.wait.count() / 1000);
+    target +=
+      std::string(kSinceParameter) + std::to_string(aQuery.since->revision) +
+      std::string(kEraParameter) + std::to_string(aQuery.since->era) +
+      std::string(kWaitParameter) + std::to_string(aQuery.wait.count() / 1000);
   }
   return target;
 }
@@ -159,41 +254,49 @@
     return query;
   }
   aTarget.remove_prefix(since + kSinceParameter.size());
+  const std::size_t era = aTarget.find(kEraParameter);
   const std::size_t wait = aTarget.find(kWaitParameter);
-  uint64_t revision = 0;
+  StoreVersion version;
   int64_t milliseconds = 0;
-  if (wait == std::string_view::npos ||
-      !ParseNumber(aTarget.substr(0, wait), revision) ||
+  if (era == std::string_view::npos || wait == std::string_view::npos ||
+      wait < era || !ParseNumber(aTarget.substr(0, era), version.revision) ||
+      !ParseNumber(aTarget.substr(era + kEraParameter.size(),
+                                  wait - era - kEraParameter.size()),
+                   version.era) ||
       !ParseNumber(aTarget.substr(wait + kWaitParameter.size()),
                    milliseconds)) {
     return std::nullopt;
   }
-  query.since = revision;
+  query.since = version;
   query.wait = Duration{ milliseconds * 1000 };
   return query;
 }
 
+std::string
+EncodeMirrorResponse(const MirrorResponseHead& aHead, std::string_view aEncoded)
+{
+  constexpr char kArrayOfFive = '\x85'; // RFC 8949, section 3.1
+  std::string bytes(1, kArrayOfFive);
+  bytes += ToCbor(aHead.asOf.era);
+  bytes += ToCbor(aHead.asOf.revision);
+  bytes += ToCbor(aHead.age.count());
+  bytes += ToCbor(aHead.recentOutage);
+  bytes += aEncoded;
+  return bytes;
+}
+
 std::string
 EncodeMirrorPage(const ListPage& aPage)
 {
-  json items = json::array();
-  for (const Object& object : aPage.items) {
-    items.push_back(EncodeObject(object));
-  }
-  return ToCbor(
-    json::array({ aPage.asOf, aPage.age.count(), aPage.recentOutage, items }));
+  return EncodeMirrorResponse({ aPage.asOf, aPage.age, aPage.recentOutage },
+                              EncodeItems(aPage.items));
 }
 
 std::string
 EncodeMirrorBatch(const ChangeBatch& aBatch)
 {
-  json changes = json::array();
-  for (const Change& change : aBatch.changes) {
-    changes.push_back(
-      json::array({ change.removed, EncodeObject(change.object) }));
-  }
-  return ToCbor(json::array(
-    { aBatch.asOf, aBatch.age.count(), aBatch.recentOutage, changes }));
+  return EncodeMirrorResponse({ aBatch.asOf, aBatch.age, aBatch.recentOutage },
+                              EncodeChanges(aBatch.changes));
 }
 
 std::optional<ListPage>
@@ -201,11 +304,12 @@
 {
   try {
     const json message = json::from_cbor(aBytes);
+    const MirrorResponseHead head = DecodeHead(message);
     ListPage page;
-    page.asOf = message.at(0).get<uint64_t>();
-    page.age = Duration{ message.at(1).get<int64_t>() };
-    page.recentOutage = message.at(2).get<bool>();
-    for (const json& array : message.at(3)) {
+    page.asOf = head.asOf;
+    page.age = head.age;
+    page.recentOutage = head.recentOutage;
+    for (const json& array : message.at(4)) {
       page.items.push_back(DecodeObject(array));
     }
     return page;
@@ -219,11 +323,13 @@
 {
   try {
     const json message = json::from_cbor(aBytes);
+    const MirrorResponseHead head = DecodeHead(message);
     ChangeBatch batch;
-    batch.asOf = message.at(0).get<uint64_t>();
-    batch.age = Duration{ message.at(1).get<int64_t>() };
-    batch.recentOutage = message.at(2).get<bool>();
-    for (const json& array : message.at(3)) {
+    batch.asOf = head.asOf;
+    batch.age = head.age;
+    batch.fromMirror = true;
+    batch.recentOutage = head.recentOutage;
+    for (const json& array : message.at(4)) {
       batch.changes.push_back(
         { DecodeObject(array.at(1)), array.at(0).get<bool>() });
     }
--- a/src/hibiscusnotch/store/mirror_server.cpp
+++ b/src/hibiscusnotch/store/mirror_server.cpp
@@ -17,11 +17,14 @@
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 constexpr Duration kMaxPollWait{ 10'000'000 };
+// A confirmation that is newer by less than this is not worth a response.
+constexpr Duration kMinConfirmationStep{ 400'000 };
 
 struct LongPoll
 {
   std::string kind;
-  uint64_t since = 0;
+  StoreVersion since;
+  TimePoint receivedAt{};
   relay::TimerId timer = 0;
 };
 
@@ -55,16 +58,27 @@
   {
     std::vector<ExchangeId> due;
     for (const auto& [id, poll] : longPolls_) {
-      if (poll.kind == aKind && mirrors_[aKind].AsOf() > poll.since) {
+      if (poll.kind == aKind && mirrors_[aKind].IsNewerThan(poll.since)) {
         due.push_back(id);
       }
     }
     std::ranges::for_each(due, [this](ExchangeId aId) { CompletePoll(aId); });
   }
 
-  void ConfirmUpTo(TimePoint aTime) override
+  void ConfirmUpTo(const std::string& aKind, TimePoint aTime) override
   {
     confirmedAt_ = std::max(confirmedAt_, aTime);
+    if (confirmedAt_ - publishedConfirmation_ < kMinConfirmationStep) {
+      return;
+    }
+    publishedConfirmation_ = confirmedAt_;
+    std::vector<ExchangeId> due;
+    for (const auto& [id, poll] : longPolls_) {
+      if (poll.kind == aKind) {
+        due.push_back(id);
+      }
+    }
+    std::ranges::for_each(due, [this](ExchangeId aId) { CompletePoll(aId); });
   }
 
   void SetConnected(bool aConnected) override
@@ -97,21 +111,23 @@
       Respond(aId, kNotFound, "");
       return;
     }
-    const Mirror& mirror = found->second;
-    if (!connected_ || !mirror.HasSnapshot()) {
+    Mirror& mirror = found->second;
+    const bool behind = query->since && query->since->era > mirror.AsOf().era;
+    if (!connected_ || !mirror.HasSnapshot() || behind) {
       Respond(aId, kUnavailable, "");
       return;
     }
     if (!query->since) {
-      ListPage page = mirror.List();
-      page.age = Age();
-      page.recentOutage = recentOutage_;
-      Respond(aId, kOk, EncodeMirrorPage(page));
+      Respond(aId,
+              kOk,
+              EncodeMirrorResponse({ mirror.AsOf(), Age(), recentOutage_ },
+                                   mirror.EncodedItems()));
       return;
     }
     LongPoll& poll = longPolls_[aId];
     poll.kind = query->kind;
     poll.since = *query->since;
+    poll.receivedAt = timers_.Now();
     const auto changes = mirror.ChangesSince(poll.since);
     if (!changes || !changes->changes.empty()) {
       CompletePoll(aId);
@@ -132,16 +148,21 @@
     if (found == longPolls_.end()) {
       return;
     }
-    const Mirror& mirror = mirrors_[found->second.kind];
-    auto changes = mirror.ChangesSince(found->second.since);
+    const LongPoll poll = found->second;
+    Mirror& mirror = mirrors_[poll.kind];
     RemovePoll(aId);
+    const std::string* changes = mirror.EncodedChangesSince(poll.since);
     if (!changes) {
       Respond(aId, kGone, "");
       return;
     }
-    changes->age = Age();
-    changes->recentOutage = recentOutage_;
-    Respond(aId, kOk, EncodeMirrorBatch(*changes));
+    const Duration held = timers_.Now() - poll.receivedAt;
+    Respond(
+      aId,
+      kOk,
+      EncodeMirrorResponse(
+        { std::max(mirror.AsOf(), poll.since), Age() - held, recentOutage_ },
+        *changes));
   }
 
   void RemovePoll(ExchangeId aId)
@@ -169,6 +190,7 @@
   std::map<std::string, Mirror> mirrors_;
   std::map<ExchangeId, LongPoll> longPolls_;
   TimePoint confirmedAt_{};
+  TimePoint publishedConfirmation_{};
   bool connected_ = false;
   bool recentOutage_ = false;
 };
--- a/src/hibiscusnotch/store/mirrored_store.cpp
+++ b/src/hibiscusnotch/store/mirrored_store.cpp
@@ -14,8 +14,6 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr Duration kConnectTimeout{ 250'000 }; // mirrors are in the same zone
-constexpr Duration kWatchTimeoutMargin{ 450'000 }; // beyond the requested wait
-constexpr Duration kListTimeout{ 600'000 };
 
 class MirroredStore : public ObjectStore
 {
@@ -50,15 +48,16 @@
     Query(
       *peer,
       { aKind, std::nullopt, Duration::zero() },
-      kListTimeout,
-      [this, peer = peer->name, aReply](int aStatus, const std::string& aBody) {
-        auto page = aStatus == kOk ? DecodeMirrorPage(aBody) : std::nullopt;
-        HandleMirrorResponse(peer, aStatus, std::move(page), aReply);
+      options_.listTimeout,
+      [this, peer = peer->name, aReply](const relay::FetchedResponse& aGot) {
+        auto page =
+          aGot.status == kOk ? DecodeMirrorPage(aGot.body) : std::nullopt;
+        HandleMirrorResponse(peer, aGot.status, std::move(page), aReply);
       });
   }
 
   void Watch(const std::string& aKind,
-             uint64_t aSince,
+             StoreVersion aSince,
              Duration aTimeout,
              ReplyCallback<ChangeBatch> aReply) override
   {
@@ -75,14 +74,15 @@
     Query(
       *peer,
       { aKind, aSince, aTimeout },
-      aTimeout + kWatchTimeoutMargin,
-      [this, peer = peer->name, aReply](int aStatus, const std::string& aBody) {
-        if (aStatus == kGone) {
+      aTimeout + options_.responseMargin,
+      [this, peer = peer->name, aReply](const relay::FetchedResponse& aGot) {
+        if (aGot.status == kGone) {
           aReply(std::nullopt, StoreError::HistoryGone);
           return;
         }
-        auto batch = aStatus == kOk ? DecodeMirrorBatch(aBody) : std::nullopt;
-        HandleMirrorResponse(peer, aStatus, std::move(batch), aReply);
+        auto batch =
+          aGot.status == kOk ? DecodeMirrorBatch(aGot.body) : std::nullopt;
+        HandleMirrorResponse(peer, aGot.status, std::move(batch), aReply);
       });
   }
 
@@ -111,6 +111,7 @@
     direct_.Delete(aKind, aName, std::move(aReply));
   }
   uint64_t CallCount() const override { return direct_.CallCount(); }
+  uint64_t Era() const override { return direct_.Era(); }
 
 private:
   std::optional<MirrorPeer> ChoosePeer()
@@ -226,9 +227,9 @@
     *id = fetcher_.Start(
       std::move(call),
       aTimeout,
-      [this, id, aCallback](int aStatus, const std::string& aBody) {
+      [this, id, aCallback](const relay::FetchedResponse& aResponse) {
         openQueries_.erase(*id);
-        aCallback(aStatus, aBody);
+        aCallback(aResponse);
       });
     openQueries_.emplace(*id, aPeer.name);
   }
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -67,9 +67,18 @@
     if (listedObjects_.empty()) {
       // The watch starts at the first page's revision, so that it also reports
       // changes made while later pages were read.
-      listStartRevision_ = aPage->asOf;
+      listStartVersion_ = aPage->asOf;
     }
-    if (aPage->asOf < knownRevision_) {
+    if (aPage->asOf.era != listStartVersion_.era) {
+      OnFailure(StoreError::HistoryGone, true); // restored between two pages
+      return;
+    }
+    if (aPage->asOf.era < knownVersion_.era) {
+      // This mirror has not noticed yet that the store was restored.
+      OnFailure(StoreError::MirrorFailed, true);
+      return;
+    }
+    if (aPage->asOf < knownVersion_) {
       // This list of a lagging mirror would undo known changes; skip it, but
       // watch the mirror for later ones.
       RecordMirrorOutage(aPage->recentOutage);
@@ -87,9 +96,12 @@
       return;
     }
     OnSuccess();
-    knownRevision_ = listStartRevision_;
+    knownVersion_ = listStartVersion_;
     listedOnce_ = true;
-    observer_.onList(listedObjects_, knownRevision_);
+    for (Object& object : listedObjects_) {
+      object.era = knownVersion_.era;
+    }
+    observer_.onList(listedObjects_, knownVersion_);
     listedObjects_.clear();
     observer_.onConfirmed(listSentAt_ - listAge_);
     Watch(options_.watchTimeout);
@@ -99,7 +111,7 @@
   {
     const TimePoint sentAt = timers_.Now();
     store_.Watch(options_.kind,
-                 knownRevision_,
+                 knownVersion_,
                  aTimeout,
                  [this, sentAt, aTimeout](std::optional<ChangeBatch> aBatch,
                                           StoreError aError) {
@@ -112,15 +124,21 @@
                std::optional<ChangeBatch> aBatch,
                StoreError aError)
   {
+    if (aBatch && aBatch->asOf.era != knownVersion_.era) {
+      // The same revision names another change now.
+      OnFailure(StoreError::HistoryGone, true);
+      return;
+    }
     if (!aBatch) {
       OnFailure(aError, aError == StoreError::HistoryGone);
       return;
     }
     OnSuccess();
     RecordMirrorOutage(aBatch->recentOutage);
-    knownRevision_ = std::max(knownRevision_, aBatch->asOf);
-    for (const Change& change : aBatch->changes) {
-      observer_.onChange(change, knownRevision_);
+    knownVersion_ = std::max(knownVersion_, aBatch->asOf);
+    for (Change& change : aBatch->changes) {
+      change.object.era = knownVersion_.era;
+      observer_.onChange(change, knownVersion_);
     }
     if (!aBatch->changes.empty()) {
       observer_.onConfirmed(aSentAt - aBatch->age);
@@ -133,10 +151,10 @@
     // If the store held the call for the whole wait, there was no change until
     // its end; an earlier empty response confirms only the time of the request.
     const TimePoint now = timers_.Now();
-    const bool fullWait = now - aSentAt >= aTimeout;
+    const bool fullWait = !aBatch->fromMirror && now - aSentAt >= aTimeout;
     observer_.onConfirmed((fullWait ? aSentAt + aTimeout : aSentAt) -
                           aBatch->age);
-    if (fullWait) {
+    if (fullWait || aBatch->fromMirror) {
       Watch(options_.watchTimeout);
     } else {
       timers_.After(kInitialBackoff, [this] { Watch(options_.watchTimeout); });
@@ -154,7 +172,19 @@
   void OnFailure(StoreError aError, bool aListAgain)
   {
     if (aError == StoreError::MirrorFailed) {
-      timers_.After(kMirrorSwitchDelay, [this] { ListFrom(""); });
+      // A peer's mirror goes on from the known version if it can; lists are
+      // long, and all readers of a lost mirror would ask for one at once.
+      std::uniform_real_distribution<double> jitter(0.5, 1.5);
+      timers_.After(
+        core::FromSeconds(core::Seconds(kMirrorSwitchDelay) * jitter(random_)),
+        [this, aListAgain] {
+          if (aListAgain) {
+            ListFrom("");
+          } else {
+            Watch(std::min(options_.watchTimeout,
+                           options_.watchTimeoutAfterChange));
+          }
+        });
       return;
     }
     if (!disconnected_) {
@@ -196,8 +226,8 @@
   std::minstd_rand random_;
   std::vector<Object> listedObjects_;
   TimePoint listSentAt_{};
-  uint64_t listStartRevision_ = 0;
-  uint64_t knownRevision_ = 0;
+  StoreVersion listStartVersion_;
+  StoreVersion knownVersion_;
   Duration backoff_{ 0 };
   Duration listAge_{ 0 };
   bool listedOnce_ = false;
--- a/src/hibiscusnotch/testing/fake_store.hpp
+++ b/src/hibiscusnotch/testing/fake_store.hpp
@@ -22,7 +22,7 @@
   struct WatchCall
   {
     std::string kind;
-    uint64_t since = 0;
+    store::StoreVersion since;
     core::Duration wait{ 0 };
     store::ReplyCallback<store::ChangeBatch> reply;
   };
@@ -41,7 +41,7 @@
     lists.push_back({ aKind, aAfter, std::move(aReply) });
   }
   void Watch(const std::string& aKind,
-             uint64_t aSince,
+             store::StoreVersion aSince,
              core::Duration aWait,
              store::ReplyCallback<store::ChangeBatch> aReply) override
   {
@@ -87,7 +87,7 @@
   {
     store::ListPage page;
     page.items = std::move(aItems);
-    page.asOf = aAsOf;
+    page.asOf = { era, aAsOf };
     page.more = aMore;
     const auto reply = lists.at(aIndex).reply;
     reply(std::move(page), store::StoreError::None);
@@ -98,7 +98,7 @@
   {
     store::ChangeBatch batch;
     batch.changes = std::move(aChanges);
-    batch.asOf = aAsOf;
+    batch.asOf = { era, aAsOf };
     const auto reply = watches.at(aIndex).reply;
     reply(std::move(batch), store::StoreError::None);
   }
@@ -108,6 +108,9 @@
     reply(std::nullopt, aError);
   }
 
+  uint64_t Era() const override { return era; }
+
+  uint64_t era = 0; ///< Of all responses.
   std::vector<ListCall> lists;
   std::vector<WatchCall> watches;
   std::vector<ObjectCall> objects;
