Tell roll-out orders apart by target as well, as operators replace them in place

The log shows the order for v3 decided as succeeded 0.15 s after it was seen, without an answer of v3: operators replace the stored order, its creation revision stays, and the new order went on with the schedule of the one before, which had succeeded. Ruled out: that other versions' upstreams were leaving first; they left because of that verdict.

Change: an order is creation revision and target, also in the evidence that instances exchange; of two orders in one object the younger one counts.

Test "an order that replaces a decided one in place starts anew" fails on the former condition (seen).

--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -36,7 +36,9 @@
   Duration duration{ 0 };
   uint64_t era = 0;              ///< Of the store that holds the order.
   uint64_t revision = 0;         ///< Of the stored object's last change.
-  uint64_t creationRevision = 0; ///< Distinguishes successive orders.
+  /// @brief Of the stored object. An operator may replace an order in place:
+  /// successive orders differ in this or in the target.
+  uint64_t creationRevision = 0;
   RolloutState state = RolloutState::Ordered;
 };
 
@@ -71,7 +73,8 @@
 /// @brief Answers observed for one order, as instances exchange them.
 struct RolloutEvidence
 {
-  uint64_t creationRevision = 0; ///< Identifies the order.
+  uint64_t creationRevision = 0; ///< Identifies the order, with its target.
+  std::string orderedVersion;    ///< The order's target.
   Duration age{ 0 };             ///< Time since the order was first seen.
   double canaryShare = 1;        ///< Share of sessions in the canary phase.
   /// @brief Answers of the target and of all other versions, by route.
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -49,7 +49,8 @@
                      evidence.age.count(),
                      std::lround(evidence.canaryShare * kShareScale),
                      EncodeCounts(evidence.target),
-                     EncodeCounts(evidence.baseline) });
+                     EncodeCounts(evidence.baseline),
+                     evidence.orderedVersion });
   }
   return rows;
 }
@@ -65,6 +66,7 @@
     evidence.canaryShare = row.at(3).get<double>() / kShareScale;
     evidence.target = DecodeCounts(row.at(4));
     evidence.baseline = DecodeCounts(row.at(5));
+    evidence.orderedVersion = row.at(6).get<std::string>();
   }
   return table;
 }
--- a/src/hibiscusnotch/entry/fleet_report_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_report_test.cpp
@@ -13,6 +13,7 @@
 {
   RolloutEvidence evidence;
   evidence.creationRevision = 5;
+  evidence.orderedVersion = "v2";
   evidence.age = Duration{ 1'234'567 };
   evidence.canaryShare = 0.0075;
   for (std::size_t route = 0; route < aRoutes; ++route) {
@@ -56,6 +57,7 @@
   CHECK(read->rollouts.pinnedSessions ==
         hibiscusnotch::routing::SessionHashes{ 5, 0xfedcba98 });
   CHECK(evidence.creationRevision == 5);
+  CHECK(evidence.orderedVersion == "v2");
   CHECK(evidence.canaryShare == doctest::Approx(0.0075));
   CHECK(evidence.age == Duration{ 1'234'567 });
   CHECK(evidence.target.at("route-1").good == doctest::Approx(12.34));
--- a/src/hibiscusnotch/entry/rollout_aggregator.cpp
+++ b/src/hibiscusnotch/entry/rollout_aggregator.cpp
@@ -10,6 +10,19 @@
 // replaces.
 constexpr std::string_view kAggregatePeer = "others";
 
+/// True if the first evidence belongs to a later order than the second.
+bool
+IsNewerOrder(const routing::RolloutEvidence& aFirst,
+             const routing::RolloutEvidence& aSecond)
+{
+  if (aFirst.creationRevision != aSecond.creationRevision) {
+    return aFirst.creationRevision > aSecond.creationRevision;
+  }
+  // An order that was replaced in place has been known for longer.
+  return aFirst.orderedVersion != aSecond.orderedVersion &&
+         aFirst.age < aSecond.age;
+}
+
 } // namespace
 
 void
@@ -19,10 +32,10 @@
                                aAddend.pinnedSessions.end());
   for (const auto& [service, addend] : aAddend.evidence) {
     routing::RolloutEvidence& total = aTotal.evidence[service];
-    if (total.creationRevision > addend.creationRevision) {
+    if (IsNewerOrder(total, addend)) {
       continue;
     }
-    if (total.creationRevision < addend.creationRevision) {
+    if (IsNewerOrder(addend, total)) {
       total = addend;
       continue;
     }
--- a/src/hibiscusnotch/entry/rollout_aggregator_test.cpp
+++ b/src/hibiscusnotch/entry/rollout_aggregator_test.cpp
@@ -25,6 +25,7 @@
 {
   RolloutEvidence evidence;
   evidence.creationRevision = aCreation;
+  evidence.orderedVersion = "v2";
   evidence.target["r"] = { 0, aCount };
   evidence.baseline["r"] = { 10, 0 };
   return { { { "engine", evidence } }, {} };
@@ -87,6 +88,24 @@
   CHECK(total.evidence.at("engine").target.at("r").bad == 1);
 }
 
+TEST_CASE("evidence on an order that was replaced in place does not count")
+{
+  // Both orders are the same stored object; the later one is younger.
+  RolloutReport former = MakeBadAnswers(9);
+  former.evidence.at("engine").age = Duration{ 9'000'000 };
+  RolloutReport later = MakeBadAnswers(1);
+  later.evidence.at("engine").orderedVersion = "v3";
+  later.evidence.at("engine").age = Duration{ 1'000'000 };
+  for (const bool formerFirst : { true, false }) {
+    RolloutAggregator aggregator;
+    aggregator.SetMemberReport("a", formerFirst ? former : later, kNow);
+    aggregator.SetMemberReport("b", formerFirst ? later : former, kNow);
+    const RolloutReport total = aggregator.TotalOfMembers(kNow);
+    CHECK(total.evidence.at("engine").orderedVersion == "v3");
+    CHECK(total.evidence.at("engine").target.at("r").bad == 1);
+  }
+}
+
 TEST_CASE("a session pinned at one instance is pinned at all")
 {
   // Guards against a session that changes version when the canary phase starts
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -134,6 +134,7 @@
   next.decayedAt = aNow;
   next.localEvidence.canaryShare = CanaryShare(aFleetShare.instances);
   next.localEvidence.creationRevision = aOrder.creationRevision;
+  next.localEvidence.orderedVersion = aOrder.target;
   aRollout = std::move(next);
 }
 
@@ -151,11 +152,12 @@
   if (newEra) {
     rollout.restoredAt = aNow;
   }
-  if (newEra && aOrder.target == known.target) {
+  const bool sameTarget = aOrder.target == known.target;
+  if (newEra && sameTarget) {
     rollout.localEvidence.creationRevision = aOrder.creationRevision;
     rollout.targetFailing =
       rollout.targetFailing || known.state == RolloutState::RolledBack;
-  } else if (newEra || aOrder.creationRevision != known.creationRevision) {
+  } else if (!sameTarget || aOrder.creationRevision != known.creationRevision) {
     StartOrder(rollout, aOrder, aNow, aFleetShare);
   } else if (known.revision > aOrder.revision) {
     return;
@@ -403,7 +405,8 @@
 {
   const auto rollout = rollouts_.find(aService);
   if (rollout != rollouts_.end() &&
-      rollout->second.order.creationRevision == aEvidence.creationRevision) {
+      rollout->second.order.creationRevision == aEvidence.creationRevision &&
+      rollout->second.order.target == aEvidence.orderedVersion) {
     rollout->second.peerEvidence[std::string(aInstance)] = aEvidence;
     // An instance that has just started adopts the schedule of the others, and
     // instances with different views of the fleet's size agree on the lowest
--- a/src/hibiscusnotch/routing/rollout_test.cpp
+++ b/src/hibiscusnotch/routing/rollout_test.cpp
@@ -274,10 +274,15 @@
   rollouts.Apply(MakeOrder(), kStart);
   RolloutEvidence evidence;
   evidence.creationRevision = 4;
+  evidence.orderedVersion = "v2";
   evidence.target["r"] = { 0, 100 };
   rollouts.SetPeerEvidence("engine", "peer", evidence, kStart);
   CHECK(rollouts.NextState("engine", kStart) == RolloutState::Running);
   evidence.creationRevision = 5;
+  evidence.orderedVersion = "v1"; // replaced in place
+  rollouts.SetPeerEvidence("engine", "peer", evidence, kStart);
+  CHECK(rollouts.NextState("engine", kStart) == RolloutState::Running);
+  evidence.orderedVersion = "v2";
   rollouts.SetPeerEvidence("engine", "peer", evidence, kStart);
   CHECK(rollouts.NextState("engine", kStart) == RolloutState::RolledBack);
 }
@@ -371,6 +376,28 @@
   CHECK(rollouts.NextState("engine", now) == RolloutState::RolledBack);
 }
 
+TEST_CASE("an order that replaces a decided one in place starts anew")
+{
+  // Guards against a target that succeeds at once, since the order before it
+  // had succeeded: operators replace the stored object, whose creation revision
+  // stays.
+  for (const RolloutState state :
+       { RolloutState::Running, RolloutState::Succeeded }) {
+    Rollouts rollouts;
+    rollouts.Apply(MakeOrder(state), kStart);
+    RolloutOrder next = MakeOrder();
+    next.target = "v3";
+    next.revision = 9;
+    const TimePoint now = kStart + 20 * kSecond;
+    rollouts.Apply(next, now);
+    CHECK(rollouts.NextState("engine", now) == RolloutState::Running);
+    CHECK(rollouts.ConstraintFor("engine", 0, now).excluded == "v3");
+    CHECK(rollouts.LocalEvidence(now).at("engine").age == Duration::zero());
+    CHECK(rollouts.ConstraintFor("engine", 0, now).unproven.size() ==
+          (state == RolloutState::Running ? 1 : 0));
+  }
+}
+
 TEST_CASE("an unproven target uses up its exposure, by order")
 {
   constexpr uint64_t kCanarySession = 1; // a low hash is in any canary share
