Move streams that go silent to another upstream while their targets can be met

The upstream answers others, so the probe of its address succeeds, and only idempotent requests were moved when slow.

--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -807,3 +807,61 @@
   CHECK(fixture.client.sent.size() == 2);
   CHECK(refused > 0); // canary sessions, without a wait
 }
+
+TEST_CASE("a stream whose connection goes silent moves to another upstream")
+{
+  // The upstream answers others, so a probe of it succeeds; this response was
+  // lost on the way. Before the first event, and between two events.
+  for (const bool afterEvent : { false, true }) {
+    Fixture fixture;
+    fixture.configuration.routes[2].gapTarget = kSecond;
+    fixture.Apply();
+    const auto id = fixture.Request("stream");
+    if (afterEvent) {
+      fixture.client.Head(0, fixture.Head(200));
+      fixture.client.Body(0, "id: 1\ndata: a\n\nid: 2\nda");
+    }
+    fixture.timers.Advance(4 * kSecond / 10);
+    CHECK(fixture.client.sent.size() == 1);
+    fixture.timers.Advance(2 * kSecond / 10);
+    REQUIRE(fixture.client.sent.size() == 2);
+    CHECK_FALSE(fixture.client.IsOpen(0));
+    CHECK(fixture.Message(0).substr(0, 2) != fixture.Message(1).substr(0, 2));
+    CHECK(Contains(fixture.Message(1), afterEvent ? "after=1 " : "after= "));
+    fixture.client.Head(1, fixture.Head(200));
+    fixture.client.Body(
+      1, afterEvent ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n");
+    fixture.client.End(1, CallOutcome::Complete);
+    CHECK(fixture.Response(id).finished);
+    CHECK(fixture.Response(id).body ==
+          (afterEvent ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+                      : "id: 1\ndata: a\n\n"));
+  }
+}
+
+TEST_CASE("a stream that produces output stays where it is")
+{
+  Fixture fixture;
+  fixture.configuration.routes[2].gapTarget = kSecond;
+  fixture.Apply();
+  fixture.Request("stream");
+  fixture.client.Head(0, fixture.Head(200));
+  for (int event = 1; event <= 20; ++event) {
+    fixture.timers.Advance(4 * kSecond / 10);
+    fixture.client.Body(0, "id: " + std::to_string(event) + "\ndata: a\n\n");
+  }
+  CHECK(fixture.client.sent.size() == 1);
+}
+
+TEST_CASE("a silent stream waits while all other upstreams are full")
+{
+  Fixture fixture;
+  for (const auto& [id, upstream] : fixture.fleet.upstreams.Rows()) {
+    for (int request = 0; request < 8; ++request) {
+      fixture.fleet.upstreams.RecordSend(id, 0, fixture.timers.Now());
+    }
+  }
+  fixture.Request("stream");
+  fixture.timers.Advance(kSecond);
+  CHECK(fixture.client.sent.size() == 1);
+}
