--- a/include/hibiscusnotch/routing/configuration.hpp
+++ b/include/hibiscusnotch/routing/configuration.hpp
@@ -40,9 +40,7 @@
   ExecutionSemantics executionSemantics = ExecutionSemantics::AtMostOnce;
   Duration timeout{ 0 };
   Duration latencyTarget{ 0 }; ///< Response time that earns full credit.
-  /// @brief Longest pause between events of a stream; zero if not stated.
-  Duration gapTarget{ 0 };
-  int priority = 0; ///< Zero is the most urgent.
+  int priority = 0;            ///< Zero is the most urgent.
   uint32_t maxAttempts = 1;
   bool authExempt = false; ///< Needs no API key.
   bool resumable = false;  ///< Another upstream may continue a broken stream.
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -24,7 +24,6 @@
   std::string softwareVersion;
   std::string model;
   TimePoint sentAt{};
-  TimePoint lastOutputAt{}; ///< Or when it was sent.
   double promptTokens = 0;
   bool promptUnread = true; ///< The upstream has not read the prompt yet.
   bool resumed = false;
@@ -54,7 +53,7 @@
   TimePoint waitDeadline{}; ///< Refused if no upstream is found by then.
   relay::TimerId deadlineTimer = 0;
   relay::TimerId waitTimer = 0;
-  relay::TimerId attemptTimer = 0; ///< For requests that may be repeated.
+  relay::TimerId attemptTimer = 0; ///< Only for idempotent requests.
   uint32_t executions = 0;         ///< Started, or possibly started.
   uint32_t sends = 0;              ///< Including refused ones.
   bool mayHaveExecuted = false;
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -4,7 +4,6 @@
 #include "exchange.hpp"
 #include "hibiscusnotch/core/rendezvous.hpp"
 #include "hibiscusnotch/routing/crash_attribution.hpp"
-#include "hibiscusnotch/routing/stall_limit.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -63,6 +62,8 @@
 constexpr double kEscalationBudgetShare = 0.85;
 // Fraction that retries of slow attempts may use.
 constexpr double kSlowAttemptBudgetShare = 0.6;
+// No upstream usually responds in less time.
+constexpr Duration kMinAttemptTimeout{ 200'000 };
 
 std::string
 FormatMilliseconds(Duration aDuration)
@@ -345,7 +346,6 @@
     attempt.softwareVersion = upstream.entry.softwareVersion;
     attempt.model = ModelName(aExchange, aExchange.modelIndex);
     attempt.sentAt = now;
-    attempt.lastOutputAt = now;
     attempt.promptTokens = aExchange.metadata.promptTokens;
     attempt.resumed = aExchange.responseStarted;
     AttemptMetadata metadata;
@@ -394,72 +394,39 @@
     };
     attempt.call = client_.Start(std::move(call), std::move(observer));
     aExchange.attempt = std::move(attempt);
-    WatchForStall(aExchange);
-  }
-
-  void WatchForStall(Exchange& aExchange)
-  {
-    const Attempt& attempt = *aExchange.attempt;
-    const auto limit =
-      routing::StallLimit(aExchange.route, attempt.head.has_value());
-    if (limit) {
-      const ExchangeId id = aExchange.id;
-      aExchange.attemptTimer = timers_.At(attempt.lastOutputAt + *limit,
-                                          [this, id] { OnStallCheck(id); });
+    if (aExchange.route.executionSemantics == ExecutionSemantics::Idempotent) {
+      aExchange.attemptTimer = timers_.After(
+        std::max(aExchange.route.latencyTarget, kMinAttemptTimeout),
+        [this, id] { OnSlowAttempt(id); });
     }
   }
 
-  void OnStallCheck(ExchangeId aId)
+  /// Retries a slow idempotent request at another upstream.
+  void OnSlowAttempt(ExchangeId aId)
   {
     const auto found = exchanges_.find(aId);
-    if (found == exchanges_.end() || !found->second.attempt) {
+    if (found == exchanges_.end() || !found->second.attempt ||
+        found->second.attempt->head) {
       return;
     }
     Exchange& exchange = found->second;
     exchange.attemptTimer = 0;
-    Attempt& attempt = *exchange.attempt;
-    const auto limit =
-      routing::StallLimit(exchange.route, attempt.head.has_value());
-    const TimePoint now = timers_.Now();
-    if (exchange.paused) {
-      attempt.lastOutputAt = now; // this instance does not read
-    }
-    if (limit && now - attempt.lastOutputAt < *limit) {
-      WatchForStall(exchange);
-    } else if (limit) {
-      OnStalled(exchange);
-    }
-  }
-
-  /// Moves a request without output to another upstream, or waits on.
-  void OnStalled(Exchange& aExchange)
-  {
-    const Attempt attempt = *aExchange.attempt;
+    const Attempt attempt = *exchange.attempt;
     fleet_.upstreams.RecordOutcome(attempt.upstream, false);
-    RecordForRollout(aExchange, attempt, false);
-    const uint32_t executions = aExchange.executions + (attempt.head ? 0 : 1);
+    RecordForRollout(exchange, attempt, false);
     Reason reason = Reason::NoUpstream;
-    const auto next =
-      planner_.ChooseUpstream(aExchange, aExchange.modelIndex, reason);
-    if (executions >= aExchange.route.maxAttempts || !next ||
-        !routing::CanTakeStalled(*fleet_.upstreams.Find(*next),
-                                 timers_.Now()) ||
-        !AcquireRetry(aExchange, kSlowAttemptBudgetShare)) {
+    if (exchange.executions + 1 >= exchange.route.maxAttempts ||
+        !planner_.ChooseUpstream(exchange, exchange.modelIndex, reason) ||
+        !AcquireRetry(exchange, kSlowAttemptBudgetShare)) {
       return; // the response may still arrive
     }
     log_.Write(EventNumber::AttemptEnded,
-               Describe(aExchange) + " end=abandoned took_ms=" +
-                 FormatMilliseconds(timers_.Now() - attempt.sentAt) +
-                 " silent_ms=" +
-                 FormatMilliseconds(timers_.Now() - attempt.lastOutputAt));
-    aExchange.executions = executions;
-    aExchange.mayHaveExecuted = true;
-    EndAttempt(aExchange);
-    if (aExchange.responseStarted) {
-      aExchange.events.DropPartialEvent();
-      aExchange.waitDeadline = timers_.Now() + kMaxResumeWait;
-    }
-    Dispatch(aExchange);
+               Describe(exchange) + " end=abandoned took_ms=" +
+                 FormatMilliseconds(timers_.Now() - attempt.sentAt));
+    ++exchange.executions;
+    exchange.mayHaveExecuted = true;
+    EndAttempt(exchange);
+    Dispatch(exchange);
   }
 
   void OnHead(ExchangeId aId, const relay::ResponseHead& aHead)
@@ -471,7 +438,6 @@
     Exchange& exchange = found->second;
     Attempt& attempt = *exchange.attempt;
     attempt.head = aHead;
-    attempt.lastOutputAt = timers_.Now();
     attempt.metadata = headerCodec_.ReadResponse(aHead);
     const TimePoint now = timers_.Now();
     fleet_.upstreams.RecordReachable(attempt.upstream);
@@ -605,7 +571,6 @@
     }
     Exchange& exchange = found->second;
     Attempt& attempt = *exchange.attempt;
-    attempt.lastOutputAt = timers_.Now();
     if (attempt.accepted) {
       const std::string events = exchange.events.Feed(aBytes);
       if (!events.empty()) {
