Keep a zone's mirrors through a lost history, and call the store less when cut off

From second 2 to 13 a third of the machines is cut off from the others but not from the store: each falls back to it, at four calls a second while upstreams change, and has the registrations of its healthy mirrors deleted.

Change: a lost history is no outage; a reader that no mirror serves batches changes for a second (configuration: 0.3 s) and holds its watches longer; an instance that no mirror answers does not count them as gone. Upstreams that a restored copy lacks may return, and are held only if they were gone before the restore.

Tests: watcher_test ("a third of the fleet without mirrors", "a lost history is no outage"), mirrored_store_test ("an instance that is cut off"), upstream_table_test.

--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -96,6 +96,11 @@
   /// @brief The store was restored from an older copy, which may contain
   /// entries of upstreams that have left.
   void OnStoreRestored(TimePoint aNow) { restoredAt_ = aNow; }
+  /// @brief True while entries that the restored copy lacks may return.
+  bool RecentlyRestored(TimePoint aNow) const
+  {
+    return restoredAt_ && aNow - *restoredAt_ < kLapsedEntryGrace;
+  }
 
   Upstream* Find(UpstreamId aId);
   const Upstream* Find(UpstreamId aId) const;
--- a/include/hibiscusnotch/store/mirrored_store.hpp
+++ b/include/hibiscusnotch/store/mirrored_store.hpp
@@ -28,6 +28,9 @@
   Duration maxCopyAge{ 1'700'000 };
   /// @brief Backoff of a mirror that did not respond.
   Duration unreachableBackoff{ 2'000'000 };
+  /// @brief An instance without a response of any mirror for this time does not
+  /// count them as unreachable.
+  Duration cutOffTime{ 3'000'000 };
   /// @brief Backoff of a mirror that refused because it is disconnected. It is
   /// shorter, because asking such a mirror costs no call to the store.
   Duration refusedBackoff{ 300'000 };
@@ -50,7 +53,8 @@
   /// @brief The mirrors to ask, in order; empty to read from the store.
   std::function<std::vector<MirrorPeer>()> peers;
   /// @brief A peer is in backoff.
-  /// @param aUnreachable Number of consecutive queries without a response.
+  /// @param aUnreachable Number of consecutive queries without a response
+  /// while other mirrors responded.
   std::function<void(const std::string& aPeer, uint32_t aUnreachable)>
     onPeerAvoided;
 };
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -66,6 +66,8 @@
   /// confirmed while the mirror held the request.
   Duration age{ 0 };
   bool fromMirror = false;
+  /// @brief Read from the store since no mirror can be read.
+  bool isFallback = false;
   bool recentOutage = false; ///< As in ListPage.
 };
 
--- a/include/hibiscusnotch/store/watcher.hpp
+++ b/include/hibiscusnotch/store/watcher.hpp
@@ -23,6 +23,10 @@
   /// @brief Delay after a change, so that one call fetches several changes. It
   /// is small against the shortest propagation bound, which is two seconds.
   Duration batchDelay{ 250'000 };
+  /// @brief Both for a reader that no mirror serves. When many readers lose
+  /// their mirrors at once, all of them call the store.
+  Duration fallbackBatchDelay{ 1'000'000 };
+  Duration fallbackWatchTimeout{ 10'000'000 };
 };
 
 struct WatcherObserver
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kSweepInterval{ 250'000 };
 constexpr Duration kBootstrapListDelay{ 350'000 };     // all start within 0.3 s
 constexpr Duration kConfigurationBatchDelay{ 50'000 }; // for bursts
+constexpr Duration kFallbackConfigurationBatchDelay{ 300'000 };
 // A watch that returns a change confirms the keys only as of the watch's start,
 // so the next one is short to confirm them well before they expire.
 constexpr Duration kWatchTimeoutAfterChange{ 500'000 };
@@ -242,8 +243,10 @@
     store::WatcherOptions options;
     options.kind = aKind;
     options.watchTimeout = aWatchTimeout;
+    options.fallbackWatchTimeout = aWatchTimeout;
     if (aKind == dependencies_.storeCodec.Kinds().configuration) {
       options.batchDelay = kConfigurationBatchDelay;
+      options.fallbackBatchDelay = kFallbackConfigurationBatchDelay;
       options.watchTimeoutAfterChange = kWatchTimeoutAfterChange;
     }
     return options;
@@ -367,7 +370,9 @@
     };
     handlers.onRemoved = [this, row](const std::string& aName) {
       const TimePoint now = dependencies_.timers.Now();
-      const bool mayReturn = watchers_[row]->HadRecentOutage(now);
+      const bool mayReturn =
+        watchers_[row]->HadRecentOutage(now) ||
+        dependencies_.fleet.upstreams.RecentlyRestored(now);
       ++upstreamChanges_.gone;
       LogUpstream(EventNumber::UpstreamGone, [&] {
         return "upstream=" + aName +
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -94,7 +94,8 @@
   }
   if (found->second.leaving) {
     aUpstream.announcedLeaving = true;
-  } else if (restoredAt_ && aNow - *restoredAt_ < kRestoredEntryHold) {
+  } else if (restoredAt_ && found->second.at < *restoredAt_ &&
+             aNow - *restoredAt_ < kRestoredEntryHold) {
     aUpstream.heldUntil = *restoredAt_ + kRestoredEntryHold;
   }
 }
--- a/src/hibiscusnotch/routing/upstream_table_test.cpp
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -158,6 +158,18 @@
   CHECK(table.Find(fresh)->heldUntil == TimePoint{});
 }
 
+TEST_CASE("an entry that a restored copy lacks is used once it is back")
+{
+  UpstreamTable table;
+  table.Apply(MakeEntry("u"), kNow);
+  const TimePoint restored = kNow + kSecond;
+  table.OnStoreRestored(restored);
+  CHECK(table.RecentlyRestored(restored));
+  table.Remove("u", false, restored); // the list of the copy
+  const UpstreamId id = table.Apply(MakeEntry("u"), restored + kSecond);
+  CHECK(table.Find(id)->heldUntil == TimePoint{});
+}
+
 TEST_CASE("an entry that returns without a restore is used at once")
 {
   UpstreamTable table;
--- a/src/hibiscusnotch/store/mirrored_store.cpp
+++ b/src/hibiscusnotch/store/mirrored_store.cpp
@@ -67,8 +67,10 @@
         Refuse<ChangeBatch>(aReply);
         return;
       }
-      direct_.Watch(
-        aKind, aSince, aTimeout, RecordingProbe<ChangeBatch>(aKind, aReply));
+      direct_.Watch(aKind,
+                    aSince,
+                    aTimeout,
+                    RecordingProbe<ChangeBatch>(aKind, MarkFallback(aReply)));
       return;
     }
     Query(
@@ -144,6 +146,17 @@
                   [aReply] { aReply(std::nullopt, StoreError::Refused); });
   }
 
+  ReplyCallback<ChangeBatch> MarkFallback(ReplyCallback<ChangeBatch> aReply)
+  {
+    return [fallback = hasMirrors_, aReply = std::move(aReply)](
+             std::optional<ChangeBatch> aBatch, StoreError aError) {
+      if (aBatch) {
+        aBatch->isFallback = fallback;
+      }
+      aReply(std::move(aBatch), aError);
+    };
+  }
+
   /// Wraps a callback to record the outcome of the probe kind's direct calls.
   template<class Result>
   ReplyCallback<Result> RecordingProbe(const std::string& aKind,
@@ -178,6 +191,7 @@
   {
     if (aStatus != 0) {
       unreachableCounts_[aPeer] = 0;
+      lastResponseAt_ = timers_.Now();
     }
     if (aResult && aResult->age <= options_.maxCopyAge) {
       aReply(std::move(aResult), StoreError::None);
@@ -198,7 +212,9 @@
     }
     until = now + (aUnreachable ? options_.unreachableBackoff
                                 : options_.refusedBackoff);
-    unreachableCounts_[aPeer] += aUnreachable ? 1 : 0;
+    // If no mirror responds, this instance is the one that is cut off.
+    const bool cutOff = now - lastResponseAt_ > options_.cutOffTime;
+    unreachableCounts_[aPeer] += aUnreachable && !cutOff ? 1 : 0;
     observer_.onPeerAvoided(aPeer, unreachableCounts_[aPeer]);
     // Other queries to that peer fail now, and retry at another source.
     std::vector<relay::FetchId> waiting;
@@ -243,6 +259,7 @@
   relay::Fetcher fetcher_;
   std::map<relay::FetchId, std::string> openQueries_; ///< Peer of each query.
   TimePoint startedAt_;
+  TimePoint lastResponseAt_{}; ///< Of any mirror.
   bool hasMirrors_ = false;
   bool probeFailed_ = false;
   TimePoint nextProbeAt_{};
--- a/src/hibiscusnotch/store/mirrored_store_test.cpp
+++ b/src/hibiscusnotch/store/mirrored_store_test.cpp
@@ -26,6 +26,7 @@
   ManualTimers timers;
   std::vector<MirrorPeer> peers{ { "first", {} }, { "second", {} } };
   std::vector<std::string> avoided;
+  uint32_t unreachable = 0; ///< The largest count reported.
   std::unique_ptr<ObjectStore> store;
   std::optional<ListPage> page;
   StoreError error = StoreError::None;
@@ -34,14 +35,16 @@
   {
     MirroredStoreOptions options;
     options.probeKind = "configuration";
-    store = MakeMirroredStore(direct,
-                              client,
-                              timers,
-                              options,
-                              { [this] { return peers; },
-                                [this](const std::string& aPeer, uint32_t) {
-                                  avoided.push_back(aPeer);
-                                } });
+    store = MakeMirroredStore(
+      direct,
+      client,
+      timers,
+      options,
+      { [this] { return peers; },
+        [this](const std::string& aPeer, uint32_t aUnreachable) {
+          avoided.push_back(aPeer);
+          unreachable = std::max(unreachable, aUnreachable);
+        } });
   }
 
   void List(const std::string& aKind = "configuration")
@@ -192,3 +195,52 @@
   CHECK(fixture.avoided.empty());
   CHECK(fixture.direct.watches.empty());
 }
+
+TEST_CASE("a watch of the store says whether it stands in for a mirror")
+{
+  Fixture fixture;
+  std::optional<ChangeBatch> batch;
+  const auto watch = [&] {
+    fixture.store->Watch("configuration",
+                         { 1, 10 },
+                         kSecond,
+                         [&](std::optional<ChangeBatch> aBatch, StoreError) {
+                           batch = std::move(aBatch);
+                         });
+  };
+  fixture.DisconnectMirrors();
+  watch();
+  fixture.direct.AnswerWatch(0, {}, 10);
+  REQUIRE(batch);
+  CHECK(batch->isFallback);
+  fixture.peers.clear(); // the zone's first instance
+  watch();
+  fixture.direct.AnswerWatch(1, {}, 10);
+  CHECK_FALSE(batch->isFallback);
+}
+
+TEST_CASE("an instance that is cut off does not count its peers as gone")
+{
+  // A third of the fleet is cut off from the others but not from the store:
+  // it must not have the registrations of all mirrors deleted.
+  for (const bool cutOff : { true, false }) {
+    Fixture fixture;
+    fixture.timers.Advance(kSecond); // past the startup grace
+    for (int step = 0; step < 200; ++step) {
+      const std::size_t calls = fixture.client.sent.size();
+      fixture.List();
+      if (fixture.client.sent.size() > calls) {
+        const bool responds = !cutOff && fixture.avoided.size() % 2 == 1;
+        if (responds) {
+          ListPage page;
+          fixture.RespondFromMirror(200, EncodeMirrorPage(page));
+          fixture.avoided.emplace_back("turn");
+        } else {
+          fixture.client.End(calls, CallOutcome::NotSent);
+        }
+      }
+      fixture.timers.Advance(kSecond / 10);
+    }
+    CHECK((fixture.unreachable == 0) == cutOff);
+  }
+}
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -10,6 +10,7 @@
 constexpr Duration kInitialBackoff{ 100'000 };
 // Well within the shortest propagation bound.
 constexpr Duration kMaxBackoff{ 400'000 };
+constexpr Duration kRelistDelay{ 10'000 }; // after a lost history
 // Shorter than a backoff: the next call goes to another source.
 constexpr Duration kMirrorSwitchDelay{ 50'000 };
 // Entries that expired during an outage are restored within about this time.
@@ -142,10 +143,14 @@
     }
     if (!aBatch->changes.empty()) {
       observer_.onConfirmed(aSentAt - aBatch->age);
-      timers_.After(options_.batchDelay, [this] {
-        Watch(
-          std::min(options_.watchTimeout, options_.watchTimeoutAfterChange));
-      });
+      const bool fallback = aBatch->isFallback;
+      timers_.After(
+        fallback ? options_.fallbackBatchDelay : options_.batchDelay,
+        [this, fallback] {
+          Watch(fallback ? options_.fallbackWatchTimeout
+                         : std::min(options_.watchTimeout,
+                                    options_.watchTimeoutAfterChange));
+        });
       return;
     }
     // If the store held the call for the whole wait, there was no change until
@@ -155,7 +160,8 @@
     observer_.onConfirmed((fullWait ? aSentAt + aTimeout : aSentAt) -
                           aBatch->age);
     if (fullWait || aBatch->fromMirror) {
-      Watch(options_.watchTimeout);
+      Watch(aBatch->isFallback ? options_.fallbackWatchTimeout
+                               : options_.watchTimeout);
     } else {
       timers_.After(kInitialBackoff, [this] { Watch(options_.watchTimeout); });
     }
@@ -187,6 +193,14 @@
         });
       return;
     }
+    if (aError == StoreError::HistoryGone) {
+      // The source responds; its readers must not lose it over a new list.
+      std::uniform_real_distribution<double> jitter(0.7, 1.3);
+      timers_.After(
+        core::FromSeconds(core::Seconds(kRelistDelay) * jitter(random_)),
+        [this] { ListFrom(""); });
+      return;
+    }
     if (!disconnected_) {
       disconnected_ = true;
       observer_.onDisconnected(aError);
@@ -194,9 +208,6 @@
     backoff_ = backoff_ == Duration::zero()
                  ? kInitialBackoff
                  : std::min(kMaxBackoff, backoff_ * 2);
-    if (aError == StoreError::HistoryGone) {
-      backoff_ = kInitialBackoff / 10;
-    }
     std::uniform_real_distribution<double> jitter(0.7, 1.3);
     const Duration delay =
       core::FromSeconds(core::Seconds(backoff_) * jitter(random_));
--- a/src/hibiscusnotch/store/watcher_test.cpp
+++ b/src/hibiscusnotch/store/watcher_test.cpp
@@ -258,3 +258,40 @@
   CHECK(failed > 8);  // still retried about every second
   CHECK(failed < 30); // and not in a tight loop
 }
+
+TEST_CASE("a third of the fleet without mirrors during a roll-out: few calls")
+{
+  // Cut off from its peers, a reader falls back to the store while upstreams
+  // change all the time; a hundred others do the same.
+  Fixture fixture;
+  fixture.store.AnswerList(0, {}, 10);
+  std::size_t answered = 0;
+  for (uint64_t step = 1; step <= 100; ++step) {
+    fixture.timers.Advance(kSecond / 10);
+    if (answered == fixture.store.watches.size()) {
+      continue; // no watch is open
+    }
+    ChangeBatch batch;
+    batch.asOf = { 0, 10 + step };
+    batch.changes = { { MakeObject("a", 10 + step), false } };
+    batch.isFallback = true;
+    const auto reply = fixture.store.watches[answered++].reply;
+    reply(batch, StoreError::None);
+  }
+  CHECK(fixture.store.watches.size() <= 11); // one a second
+}
+
+TEST_CASE("a lost history is no outage")
+{
+  // The store forgets its history: the zone's first reader lists again and goes
+  // on serving the others, which would all turn to the store otherwise.
+  Fixture fixture;
+  fixture.store.AnswerList(0, { MakeObject("a", 1) }, 10);
+  fixture.store.FailWatch(0, StoreError::HistoryGone);
+  CHECK_FALSE(fixture.watcher->Disconnected());
+  CHECK(fixture.disconnected == 0);
+  fixture.timers.Advance(kSecond / 50);
+  REQUIRE(fixture.store.lists.size() == 2);
+  fixture.store.AnswerList(1, { MakeObject("a", 1) }, 30);
+  CHECK_FALSE(fixture.watcher->HadRecentOutage(fixture.timers.Now()));
+}
