--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -520,6 +520,9 @@
 
   void Register()
   {
+    if (leaving_) {
+      return;
+    }
     Object row;
     row.name = options_.instanceName;
     row.spec = { { "ip", options_.peerEndpoint.address },
@@ -531,7 +534,7 @@
       row,
       [this](const std::optional<Object>& aObject, StoreError aFault) {
         const bool registered = aObject || aFault == StoreError::Conflict;
-        if (!registered && !leaving_) {
+        if (!registered) {
           dependencies_.timers.After(kRegisterRetryDelay,
                                      [this] { Register(); });
         }
--- a/src/hibiscusnotch/entry/fleet_sync_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync_test.cpp
@@ -243,3 +243,16 @@
   REQUIRE(id);
   CHECK(fixture.fleet.upstreams.Find(*id)->announcedLeaving);
 }
+
+TEST_CASE("an instance that shuts down does not register again")
+{
+  // Its own removal arrives while it drains; a restored store may lack it, too.
+  Fixture fixture;
+  fixture.sync->Deregister();
+  fixture.store.AnswerWatch(0, { { MakeInstance("self"), true } }, 11);
+  fixture.timers.Advance(kSecond);
+  CHECK(fixture.Registrations() == 1);
+  fixture.Restore("i", { MakeInstance("a") }, 6);
+  fixture.timers.Advance(2 * kSecond);
+  CHECK(fixture.Registrations() == 1);
+}
