--- a/src/hibiscusnotch/entry/mirror_role.cpp
+++ b/src/hibiscusnotch/entry/mirror_role.cpp
@@ -82,6 +82,7 @@
   const std::size_t inner =
     std::min(self, ParentRank(aFleet, ranking, ranking.size()) + 1);
   std::vector<std::size_t> others;
+  others.reserve(inner);
   for (std::size_t rank = 1; rank < inner; ++rank) {
     if (rank != parent) {
       others.push_back(rank);
@@ -96,6 +97,7 @@
     ranks.push_back(0);
   }
   std::vector<store::MirrorPeer> peers;
+  peers.reserve(ranks.size());
   for (const std::size_t rank : ranks) {
     peers.push_back(
       { ranking[rank], aFleet.instances.at(ranking[rank]).endpoint });
