Log the former era of a restored store; format

The log line store_restored gave 0 as the former era, since the first era was not kept. One function of the router is named for what it does.

--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -34,8 +34,8 @@
   std::string service;
   std::string target; ///< The software version to roll out.
   Duration duration{ 0 };
-  uint64_t era = 0;              ///< Of the store that holds the order.
-  uint64_t revision = 0;         ///< Of the stored object's last change.
+  uint64_t era = 0;      ///< Of the store that holds the order.
+  uint64_t revision = 0; ///< Of the stored object's last change.
   /// @brief Of the stored object. An operator may replace an order in place:
   /// successive orders differ in this or in the target.
   uint64_t creationRevision = 0;
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -196,6 +196,9 @@
     if (restored) {
       OnStoreRestored(aEra);
     }
+    if (dependencies_.fleet.storeEra == 0) {
+      dependencies_.fleet.storeEra = aEra;
+    }
     aWatched.era = aEra;
     std::set<std::string> missing = std::move(aWatched.known);
     aWatched.known.clear();
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -441,7 +441,7 @@
     attempt.metadata = headerCodec_.ReadResponse(aHead);
     const TimePoint now = timers_.Now();
     fleet_.upstreams.RecordReachable(attempt.upstream);
-    RecordUpstreamWishes(attempt, now);
+    RecordUpstreamSignals(attempt, now);
     if (attempt.metadata.load) {
       fleet_.upstreams.RecordReportedLoad(
         attempt.upstream, *attempt.metadata.load, now);
@@ -465,7 +465,7 @@
   }
 
   /// Records that the upstream is leaving, or wants no requests for a while.
-  void RecordUpstreamWishes(const Attempt& aAttempt, TimePoint aNow)
+  void RecordUpstreamSignals(const Attempt& aAttempt, TimePoint aNow)
   {
     if (aAttempt.metadata.wrongUpstream) {
       return; // another upstream's response
