--- a/src/hibiscusnotch/store/mirror_test.cpp
+++ b/src/hibiscusnotch/store/mirror_test.cpp
@@ -130,6 +130,7 @@
   // repeated for each of them.
   Mirror mirror;
   std::vector<Object> objects;
+  objects.reserve(2000);
   for (int index = 0; index < 2000; ++index) {
     objects.push_back(MakeObject("upstream" + std::to_string(index), 5));
   }
