--- a/src/hibiscusnotch/entry/mirror_role.cpp
+++ b/src/hibiscusnotch/entry/mirror_role.cpp
@@ -11,8 +11,7 @@
 
 // The parent, and others to turn to when it fails.
 constexpr std::size_t kMaxMirrorPeers = 4;
-// Thousandths of a core for each reader of a mirror: polls cost a reader's
-// mirror about a thousandth, more while many upstreams change.
+// Thousandths of a core that an instance needs for each reader of its mirror.
 constexpr uint32_t kCapacityPerReader = 20;
 constexpr std::size_t kMinReaders = 4;
 constexpr std::size_t kMaxReaders = 24;
