Log the prompt parts of broken attempts and each upstream that crashed

E701 now carries the hashes of the parts that other requests may share, E724 is written for each crash. No decision changes.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -61,6 +61,7 @@
   StoreLost = 720,
   StoreRegained = 721,
   StoreRestored = 723,
+  UpstreamCrashed = 724,
   ObjectUnreadable = 722,
 };
 
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -76,6 +76,7 @@
   EventDescription{ StoreRegained, LogLevel::Info, "store_regained" },
   EventDescription{ ObjectUnreadable, LogLevel::Error, "object_unreadable" },
   EventDescription{ StoreRestored, LogLevel::Warning, "store_restored" },
+  EventDescription{ UpstreamCrashed, LogLevel::Warning, "upstream_crashed" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -65,6 +65,7 @@
   std::optional<FallbackResponse> fallbackResponse;
   relay::EventSplitter events;
   uint64_t fingerprint = 0;
+  std::vector<uint64_t> sharedPromptParts; ///< Hashes, in prompt order.
   std::string lastModel;
   std::string lastVersion;
 };
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -6,8 +6,12 @@
 #include "hibiscusnotch/routing/crash_attribution.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
 #include <cmath>
+#include <cstdio>
 #include <map>
+#include <span>
 #include <unordered_map>
 
 namespace hibiscusnotch::entry {
@@ -71,6 +75,33 @@
   return std::to_string(aDuration.count() / 1000);
 }
 
+/// Hashes of the prompt's parts that other requests may share: all but the
+/// last.
+std::vector<uint64_t>
+SharedPromptParts(const RequestMetadata& aMetadata)
+{
+  std::vector<uint64_t> parts;
+  for (const PromptSegment& segment : aMetadata.promptSegments) {
+    parts.push_back(core::StableHash(segment.id));
+  }
+  if (!parts.empty()) {
+    parts.pop_back();
+  }
+  return parts;
+}
+
+std::string
+FormatPromptParts(std::span<const uint64_t> aParts)
+{
+  std::string text;
+  for (const uint64_t part : aParts) {
+    std::array<char, 17> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016" PRIx64, part);
+    text += (text.empty() ? "" : ",") + std::string(digits.data());
+  }
+  return text;
+}
+
 std::string_view
 ReasonPhrase(int aStatus)
 {
@@ -115,6 +146,7 @@
     exchange.request = std::move(aRequest);
     exchange.metadata = headerCodec_.ReadRequest(exchange.request);
     exchange.arrivedAt = timers_.Now();
+    exchange.sharedPromptParts = SharedPromptParts(exchange.metadata);
     exchange.fingerprint =
       core::MixHash(core::StableHash(exchange.request.target),
                     core::MixHash(core::StableHash(exchange.metadata.apiKey),
@@ -647,7 +679,10 @@
       Describe(exchange) + " end=" + OutcomeName(aOutcome) +
         " status=" + std::to_string(attempt.head ? attempt.head->status : 0) +
         " took_ms=" + FormatMilliseconds(timers_.Now() - attempt.sentAt) +
-        (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"'));
+        (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"') +
+        (aOutcome == CallOutcome::ConnectionLost
+           ? " prompt_parts=" + FormatPromptParts(exchange.sharedPromptParts)
+           : ""));
     EndAttempt(exchange);
     exchange.lastModel = attempt.model;
     exchange.lastVersion = attempt.softwareVersion;
@@ -716,8 +751,15 @@
   /// crashed upstreams.
   void AttributeCrash(UpstreamId aUpstream)
   {
-    for (const uint64_t fingerprint :
-         crashAttribution_.TakeSuspects(aUpstream, timers_.Now())) {
+    const std::vector<uint64_t> suspects =
+      crashAttribution_.TakeSuspects(aUpstream, timers_.Now());
+    if (const routing::Upstream* upstream = fleet_.upstreams.Find(aUpstream);
+        upstream && !suspects.empty()) {
+      log_.Write(EventNumber::UpstreamCrashed,
+                 "upstream=" + upstream->entry.name +
+                   " suspects=" + std::to_string(suspects.size()));
+    }
+    for (const uint64_t fingerprint : suspects) {
       const uint32_t losses = fleet_.quarantine.CountLoss(fingerprint);
       if (fleet_.quarantine.IsQuarantined(fingerprint)) {
         log_.Write(EventNumber::RequestQuarantined,
