--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/testing/manual_timers.hpp"
 
 #include <doctest/doctest.h>
+#include <sstream>
 
 using namespace hibiscusnotch::entry;
 using hibiscusnotch::core::UpstreamId;
@@ -37,6 +38,10 @@
     metadata.host = std::string(aRequest.Header("host"));
     metadata.path = aRequest.target;
     metadata.apiKey = std::string(aRequest.Header("key"));
+    std::istringstream parts{ std::string(aRequest.Header("parts")) };
+    for (std::string part; parts >> part;) {
+      metadata.promptSegments.push_back({ part, 100 });
+    }
     if (!aRequest.Header("left").empty()) {
       metadata.timeLeft =
         Duration{ std::stoll(std::string(aRequest.Header("left"))) * 1000 };
@@ -149,10 +154,12 @@
     fleet.configurationConfirmedAt = timers.Now();
   }
 
-  void Add(const std::string& aName)
+  void Add(const std::string& aName, int64_t aIncarnation = 0)
   {
     routing::UpstreamEntry entry;
     entry.name = aName;
+    entry.endpoint = { aName, 1 };
+    entry.incarnation = aIncarnation;
     entry.service = "app";
     entry.zone = "east";
     entry.slots = 8;
@@ -161,7 +168,8 @@
 
   relay::ExchangeId Request(const std::string& aRoute,
                             const std::string& aKey = "good",
-                            const std::string& aTimeLeft = "3000")
+                            const std::string& aTimeLeft = "3000",
+                            const std::string& aParts = "")
   {
     net::HttpRequest request;
     request.method = "POST";
@@ -171,6 +179,7 @@
       { "host", "h" },
       { "key", aKey },
       { "left", aTimeLeft },
+      { "parts", aParts },
     };
     request.body = "body" + std::to_string(last);
     router->OnRequest(last, request);
@@ -654,6 +663,65 @@
   CHECK(Contains(fixture.Response(id).body, "quarantined"));
 }
 
+TEST_CASE("a prompt part that crashes upstreams is refused")
+{
+  // Guards against requests that share one part of their prompts, are otherwise
+  // unlike, and crash one upstream after the other.
+  Fixture fixture;
+  constexpr int kUpstreams = 8;
+  constexpr std::size_t kMaxCrashes = 8; // five, and three sends after them
+  std::map<std::string, int> restarts;
+  for (int index = 0; index < kUpstreams; ++index) {
+    fixture.Add("e" + std::to_string(index));
+  }
+  std::size_t crashes = 0;
+  std::size_t soundServed = 0;
+  constexpr int kRounds = 40;
+  for (int round = 0; round < kRounds; ++round) {
+    fixture.timers.Advance(kSecond / 5);
+    fixture.Apply();
+    const std::string own = "own" + std::to_string(round);
+    // Shares the key, the route and the first part with the fatal ones.
+    std::size_t send = fixture.client.sent.size();
+    const auto sound =
+      fixture.Request("stream", "good", "3000", "first second s" + own);
+    for (; send < fixture.client.sent.size(); ++send) {
+      if (fixture.client.IsRefused(send)) {
+        fixture.client.End(send, CallOutcome::NotSent);
+        continue;
+      }
+      fixture.client.Head(send, fixture.Head(200));
+      fixture.client.Body(send, "id: 1\ndata: x\n\n");
+      fixture.client.End(send, CallOutcome::Complete);
+    }
+    soundServed +=
+      fixture.Response(sound).finished && fixture.Response(sound).status == 200
+        ? 1
+        : 0;
+    fixture.Request("stream", "good", "3000", "first fatal f" + own);
+    for (; send < fixture.client.sent.size(); ++send) {
+      if (fixture.client.IsRefused(send)) {
+        fixture.client.End(send, CallOutcome::NotSent);
+        continue;
+      }
+      ++crashes;
+      fixture.client.refusing.insert(
+        fixture.client.sent.at(send).call.to.address);
+      fixture.client.Head(send, fixture.Head(200));
+      fixture.client.End(send, CallOutcome::ConnectionLost);
+    }
+    // Crashed upstreams are back after a second.
+    if (round % 5 == 4) {
+      for (const std::string& name :
+           std::exchange(fixture.client.refusing, {})) {
+        fixture.Add(name, ++restarts[name]);
+      }
+    }
+  }
+  CHECK(crashes <= kMaxCrashes);
+  CHECK(soundServed >= kRounds * 9 / 10);
+}
+
 TEST_CASE("retries stop when the retry budget is used up")
 {
   // Guards against retry storms when every attempt fails.
--- a/src/hibiscusnotch/testing/fake_outbound_client.hpp
+++ b/src/hibiscusnotch/testing/fake_outbound_client.hpp
@@ -43,6 +43,12 @@
 
   std::size_t Open() const override { return open_.size(); }
 
+  /// True if no process listens at the address of the call.
+  bool IsRefused(std::size_t aIndex) const
+  {
+    return refusing.contains(sent.at(aIndex).call.to.address);
+  }
+
   bool IsOpen(std::size_t aIndex) const
   {
     return open_.contains(sent.at(aIndex).id);
@@ -73,6 +79,7 @@
   std::vector<SentCall> sent;
   std::set<relay::CallId> cancelled;
   std::map<relay::CallId, bool> paused;
+  std::set<std::string> refusing; ///< Addresses without a process.
 
 private:
   std::set<relay::CallId> open_;
