Refuse requests by the prompt part that crashes upstreams, not by their whole content

Cause: the quarantine counted crashes by a hash of target, key and body, which such requests never have in common; an instance saw a crash only if it happened to send another request to that upstream within a second; and only what one instance had already convicted was told to others. Class of fault: evidence kept under a key too narrow to be shared.

Why it works: a broken attempt is followed by one probe of its upstream, so each crash is seen where it hits; its evidence is kept for each part of the prompts and merged by union over the fleet; the fatal part is in every crash and in no completed answer, so completed answers clear its neighbours and the part that explains most crashes is refused, also for retries, resumed streams and larger models. Upstreams killed at the same moment count once. One instance tries the part again with single requests, ever more rarely.

Tests replaced: the quarantine's two tests in entry now record crashes in place of counts (one crash an instance in peer_exchange_test, which the former code would not add up); the router's test of a repeated request lets its upstream refuse a probe in place of another request's connection, and is as strict otherwise.

--- a/include/hibiscusnotch/entry/event_log.hpp
+++ b/include/hibiscusnotch/entry/event_log.hpp
@@ -17,6 +17,10 @@
   double burstLines = 1000;    ///< Lines that may be written at once.
 };
 
+/// @brief A hash in hexadecimal digits, for details of events.
+std::string
+FormatHash(uint64_t aHash);
+
 class EventLog
 {
 public:
--- a/include/hibiscusnotch/entry/fleet_report.hpp
+++ b/include/hibiscusnotch/entry/fleet_report.hpp
@@ -4,12 +4,13 @@
 
 #include "hibiscusnotch/entry/load_aggregator.hpp"
 #include "hibiscusnotch/entry/rollout_aggregator.hpp"
+#include "hibiscusnotch/routing/crash_evidence.hpp"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hibiscusnotch::entry {
 
@@ -20,17 +21,14 @@
   ZoneTotal = 3, ///< A zone's totals for the aggregators of other zones.
 };
 
-/// @brief Number of upstreams that a request has crashed, by its fingerprint.
-using UpstreamLossCounts = std::map<uint64_t, uint32_t>;
-
 struct FleetReport
 {
   ReportKind kind = ReportKind::Local;
   std::string sender; ///< Instance name.
   std::string zone;   ///< The sender's zone.
   LoadTable load;
-  RolloutReport rollouts;    ///< Counts are rounded to hundredths.
-  UpstreamLossCounts losses; ///< Of quarantined requests only.
+  RolloutReport rollouts; ///< Counts are rounded to hundredths.
+  std::vector<routing::TraitReport> crashes; ///< Ages are in milliseconds.
 };
 
 /// @brief Encodes the report as a CBOR array.
@@ -41,8 +39,4 @@
 std::optional<FleetReport>
 DecodeFleetReport(std::string_view aBytes, std::string& aLastReason);
 
-/// @brief Quarantined requests, as many as fit into one datagram.
-UpstreamLossCounts
-QuarantinedLosses(const core::Quarantine& aQuarantine);
-
 } // namespace hibiscusnotch::entry
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -2,9 +2,10 @@
 /// @brief One instance's view of the fleet.
 #pragma once
 
-#include "hibiscusnotch/core/quarantine.hpp"
+#include "hibiscusnotch/entry/event_log.hpp"
 #include "hibiscusnotch/routing/cold_start_share.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
+#include "hibiscusnotch/routing/crash_evidence.hpp"
 #include "hibiscusnotch/routing/rollout.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
@@ -44,7 +45,7 @@
   uint64_t membership = 0;     ///< Rises with each change of the instances.
   bool instancesKnown = false; ///< They have been listed at least once.
   uint64_t storeEra = 0;
-  core::Quarantine quarantine;
+  routing::CrashEvidence crashEvidence;
 
   std::size_t InstanceCount() const
   {
@@ -56,6 +57,15 @@
 std::vector<routing::ColdStartSender>
 SendersTo(const FleetState& aFleet, std::string_view aZone);
 
+/// @brief The instance that may try a quarantined trait.
+bool
+OwnsTrials(const FleetState& aFleet, std::string_view aSelf, uint64_t aTrait);
+
+/// @brief Logs the traits that were quarantined or released since the last
+/// call.
+void
+LogQuarantineChanges(routing::CrashEvidence& aEvidence, EventLog& aLog);
+
 /// @brief Applies an order with this instance's share of the fleet's exposure
 /// slack. Small shares go to a few instances as whole requests.
 void
--- a/include/hibiscusnotch/entry/peer_exchange.hpp
+++ b/include/hibiscusnotch/entry/peer_exchange.hpp
@@ -29,7 +29,7 @@
 };
 
 /// @brief Reports this instance's load, evidence on unfinished roll-outs and
-/// quarantined requests to the zone's aggregator, which replies with the totals
+/// crashes of upstreams to the zone's aggregator, which replies with the totals
 /// of the others. Aggregators exchange the evidence of their zones.
 ///
 /// A peer's report can only make an instance more cautious, so a lost datagram
--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -22,6 +22,14 @@
   ConnectionLost, ///< The connection failed after bytes were sent.
 };
 
+/// @brief What a new connection to a peer shows.
+enum class Reachability
+{
+  Accepts,
+  Refuses,     ///< Its machine answers, but no process listens there.
+  Unreachable, ///< Nothing answers in time.
+};
+
 struct OutboundCall
 {
   core::Endpoint to;
@@ -55,6 +63,10 @@
   virtual void Cancel(CallId aCall) = 0;
   /// @brief Stops or resumes reading, as back pressure for a slow receiver.
   virtual void SetPaused(CallId aCall, bool aPaused) = 0;
+  /// @brief Opens a connection, closes it at once and reports the result.
+  virtual void Probe(const core::Endpoint& aPeer,
+                     Duration aTimeout,
+                     std::function<void(Reachability)> aReport) = 0;
   virtual std::size_t Open() const = 0;
 };
 
--- a/include/hibiscusnotch/routing/crash_attribution.hpp
+++ b/include/hibiscusnotch/routing/crash_attribution.hpp
@@ -4,9 +4,10 @@
 
 #include "hibiscusnotch/core/ids.hpp"
 #include "hibiscusnotch/core/time.hpp"
+#include "hibiscusnotch/routing/crash_evidence.hpp"
 
 #include <algorithm>
-#include <cstdint>
+#include <span>
 #include <vector>
 
 namespace hibiscusnotch::routing {
@@ -20,23 +21,37 @@
   /// one has crashed; after a mere connection reset it accepts new connections.
   static constexpr core::Duration kWindow{ 1'000'000 };
 
-  void RecordLostAttempt(core::UpstreamId aUpstream,
-                         uint64_t aFingerprint,
+  /// @brief Returns true if it is the upstream's first one: time to find out
+  /// whether it crashed.
+  /// @param aIsRepeated True if the request had lost another upstream before.
+  bool RecordLostAttempt(core::UpstreamId aUpstream,
+                         std::span<const RequestTrait> aTraits,
+                         bool aIsRepeated,
                          core::TimePoint aNow)
   {
-    lostAttempts_.push_back({ aUpstream, aFingerprint, aNow });
+    std::erase_if(lostAttempts_, [aNow](const LostAttempt& aAttempt) {
+      return aNow - aAttempt.lost.lostAt >= kWindow;
+    });
+    const bool first =
+      std::ranges::none_of(lostAttempts_, [&](const LostAttempt& aAttempt) {
+        return aAttempt.upstream == aUpstream;
+      });
+    for (const RequestTrait& trait : aTraits) {
+      lostAttempts_.push_back({ aUpstream, { trait, aNow, aIsRepeated } });
+    }
+    return first;
   }
 
-  /// @brief Call when the upstream refuses a connection: returns and removes
-  /// the requests whose connections it lost just before.
-  std::vector<uint64_t> TakeSuspects(core::UpstreamId aUpstream,
-                                     core::TimePoint aNow)
+  /// @brief Returns and removes the traits of the requests whose connections
+  /// the upstream lost just before.
+  std::vector<LostTrait> TakeSuspects(core::UpstreamId aUpstream,
+                                      core::TimePoint aNow)
   {
-    std::vector<uint64_t> suspects;
+    std::vector<LostTrait> suspects;
     std::erase_if(lostAttempts_, [&](const LostAttempt& aAttempt) {
-      const bool recent = aNow - aAttempt.at < kWindow;
+      const bool recent = aNow - aAttempt.lost.lostAt < kWindow;
       if (recent && aAttempt.upstream == aUpstream) {
-        suspects.push_back(aAttempt.fingerprint);
+        suspects.push_back(aAttempt.lost);
         return true;
       }
       return !recent;
@@ -48,8 +63,7 @@
   struct LostAttempt
   {
     core::UpstreamId upstream;
-    uint64_t fingerprint = 0;
-    core::TimePoint at{};
+    LostTrait lost;
   };
 
   std::vector<LostAttempt> lostAttempts_;
--- a/src/hibiscusnotch/entry/event_log.cpp
+++ b/src/hibiscusnotch/entry/event_log.cpp
@@ -3,9 +3,20 @@
 #include "hibiscusnotch/observe/logger.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 
 namespace hibiscusnotch::entry {
 
+std::string
+FormatHash(uint64_t aHash)
+{
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016" PRIx64, aHash);
+  return digits.data();
+}
+
 EventLog::EventLog(relay::Timers& aTimers, EventLogOptions aOptions)
   : timers_(aTimers)
   , options_(std::move(aOptions))
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -7,6 +7,7 @@
 #include "hibiscusnotch/relay/listener.hpp"
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
+#include "hibiscusnotch/routing/crash_evidence.hpp"
 
 #include <optional>
 #include <string>
@@ -64,8 +65,9 @@
   std::optional<Attempt> attempt;
   std::optional<FallbackResponse> fallbackResponse;
   relay::EventSplitter events;
-  uint64_t fingerprint = 0;
-  std::vector<uint64_t> sharedPromptParts; ///< Hashes, in prompt order.
+  std::vector<routing::RequestTrait> traits; ///< The whole request's is last.
+  bool hasLostUpstream = false;              ///< An attempt was broken off.
+  bool isTrial = false; ///< Sent although a trait is quarantined.
   std::string lastModel;
   std::string lastVersion;
 };
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -1,7 +1,10 @@
 #include "hibiscusnotch/entry/fleet_report.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <span>
 
 namespace hibiscusnotch::entry {
 
@@ -9,10 +12,12 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMaxLossEntries = 32; // keeps a report in one packet
-constexpr double kCountScale = 100;         // per answer
-constexpr double kShareScale = 1e6;         // for the share of all sessions
-constexpr uint32_t kTokensPerUnit = 256;    // placement needs no finer unit
+constexpr std::size_t kCrashesField = 7;
+constexpr double kCountScale = 100;      // per answer
+constexpr double kShareScale = 1e6;      // for the share of all sessions
+constexpr uint32_t kTokensPerUnit = 256; // placement needs no finer unit
+// Longer than any evidence is kept; bounds what a malformed report can say.
+constexpr int64_t kMaxAgeMs = 3'600'000;
 
 json
 EncodeCounts(const routing::RouteCounts& aCounts)
@@ -85,6 +90,60 @@
   return load;
 }
 
+int64_t
+EncodeAge(Duration aAge)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
+}
+
+Duration
+DecodeAge(const json& aAge)
+{
+  return std::chrono::milliseconds(
+    std::clamp(aAge.get<int64_t>(), int64_t{ 0 }, kMaxAgeMs));
+}
+
+json
+EncodeCrashes(std::span<const routing::TraitReport> aReports)
+{
+  json rows = json::array();
+  for (const routing::TraitReport& report : aReports) {
+    json crashes = json::array();
+    for (const auto& [incarnation, crash] : report.crashes) {
+      crashes.push_back(incarnation);
+      crashes.push_back(EncodeAge(crash.age));
+      crashes.push_back(crash.isRepeated);
+    }
+    rows.push_back({ report.trait.hash,
+                     report.trait.specificity,
+                     report.sinceCompletion
+                       ? json(EncodeAge(*report.sinceCompletion))
+                       : json(),
+                     crashes });
+  }
+  return rows;
+}
+
+std::vector<routing::TraitReport>
+DecodeCrashes(const json& aRows)
+{
+  std::vector<routing::TraitReport> reports;
+  for (const json& row : aRows) {
+    routing::TraitReport& report = reports.emplace_back();
+    report.trait = { row.at(0).get<uint64_t>(), row.at(1).get<uint32_t>() };
+    if (!row.at(2).is_null()) {
+      report.sinceCompletion = DecodeAge(row.at(2));
+    }
+    const json& crashes = row.at(3);
+    for (std::size_t at = 0; at < crashes.size(); at += 3) {
+      report.crashes[crashes.at(at).get<uint32_t>()] = {
+        DecodeAge(crashes.at(at + 1)), crashes.at(at + 2).get<bool>()
+      };
+    }
+  }
+  return reports;
+}
+
 ReportKind
 DecodeKind(const json& aKind)
 {
@@ -107,10 +166,6 @@
     loads.push_back(load.requests);
     loads.push_back((load.promptTokens + kTokensPerUnit - 1) / kTokensPerUnit);
   }
-  json losses = json::array();
-  for (const auto& [fingerprint, count] : aReport.losses) {
-    losses.push_back({ fingerprint, count });
-  }
   std::string bytes;
   json::to_cbor(json::array({ static_cast<uint8_t>(aReport.kind),
                               aReport.sender,
@@ -118,7 +173,8 @@
                               loads,
                               EncodeEvidence(aReport.rollouts.evidence),
                               aReport.rollouts.pinnedSessions,
-                              losses }),
+                              json::array(), // read by former builds
+                              EncodeCrashes(aReport.crashes) }),
                 bytes);
   return bytes;
 }
@@ -136,8 +192,8 @@
     report.rollouts.evidence = DecodeEvidence(message.at(4));
     report.rollouts.pinnedSessions =
       message.at(5).get<routing::SessionHashes>();
-    for (const json& row : message.at(6)) {
-      report.losses[row.at(0).get<uint64_t>()] = row.at(1).get<uint32_t>();
+    if (message.size() > kCrashesField) { // former builds do not send it
+      report.crashes = DecodeCrashes(message.at(kCrashesField));
     }
     return report;
   } catch (const json::exception& aError) {
@@ -146,17 +202,4 @@
   }
 }
 
-UpstreamLossCounts
-QuarantinedLosses(const core::Quarantine& aQuarantine)
-{
-  UpstreamLossCounts losses;
-  for (const auto& [fingerprint, count] : aQuarantine.LossCounts()) {
-    if (aQuarantine.IsQuarantined(fingerprint) &&
-        losses.size() < kMaxLossEntries) {
-      losses.emplace(fingerprint, count);
-    }
-  }
-  return losses;
-}
-
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/fleet_report_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_report_test.cpp
@@ -33,7 +33,14 @@
   report.zone = "east";
   report.load = { { 7, { 2, 300 } }, { 8, { 1, 0 } } };
   report.rollouts = { { { "engine", MakeEvidence(2) } }, { 0xfedcba98, 5 } };
-  report.losses = { { 0xfedcba9876543210, 2 } };
+  report.crashes = { { { 0xfedcba9876543210, 2 },
+                       Duration{ 3'000'000 },
+                       { { 5, { Duration{ 0 }, true } } } },
+                     { { 7,
+                         hibiscusnotch::routing::RequestTrait::kWholeRequest },
+                       std::nullopt,
+                       { { 5, { Duration{ 1'500'000 } } },
+                         { 0xfedcba98, { Duration{ 2'000 } } } } } };
   return report;
 }
 
@@ -52,7 +59,18 @@
   CHECK(read->load.at(7).promptTokens >= 300);
   CHECK(read->load.at(7).promptTokens < 600);
   CHECK(read->load.at(8).promptTokens == 0);
-  CHECK(read->losses.at(0xfedcba9876543210) == 2);
+  REQUIRE(read->crashes.size() == 2);
+  CHECK(read->crashes[0].trait.hash == 0xfedcba9876543210);
+  CHECK(read->crashes[0].trait.specificity == 2);
+  CHECK(read->crashes[0].sinceCompletion == Duration{ 3'000'000 });
+  CHECK(read->crashes[0].crashes.at(5).age == Duration::zero());
+  CHECK(read->crashes[0].crashes.at(5).isRepeated);
+  CHECK(read->crashes[1].trait.specificity ==
+        hibiscusnotch::routing::RequestTrait::kWholeRequest);
+  CHECK_FALSE(read->crashes[1].sinceCompletion);
+  CHECK(read->crashes[1].crashes.at(5).age == Duration{ 1'500'000 });
+  CHECK_FALSE(read->crashes[1].crashes.at(5).isRepeated);
+  CHECK(read->crashes[1].crashes.at(0xfedcba98).age == Duration{ 2'000 });
   const RolloutEvidence& evidence = read->rollouts.evidence.at("engine");
   CHECK(read->rollouts.pinnedSessions ==
         hibiscusnotch::routing::SessionHashes{ 5, 0xfedcba98 });
@@ -80,19 +98,43 @@
   CHECK_FALSE(reason.empty());
 }
 
-TEST_CASE("only quarantined requests are reported, as many as fit")
+TEST_CASE("a report of many crashes fits into a datagram")
 {
-  hibiscusnotch::core::Quarantine quarantine;
-  quarantine.CountLoss(8);
-  CHECK(QuarantinedLosses(quarantine).empty());
-  for (uint64_t fingerprint = 100; fingerprint < 200; ++fingerprint) {
-    quarantine.CountLoss(fingerprint);
-    quarantine.CountLoss(fingerprint);
+  hibiscusnotch::routing::CrashEvidence evidence;
+  hibiscusnotch::core::TimePoint now{ Duration{ 1'000'000'000 } };
+  for (uint32_t crash = 0; crash < 100; ++crash) {
+    now += Duration{ 400'000 };
+    std::vector<hibiscusnotch::routing::LostTrait> lost;
+    for (uint64_t part = 0; part < 200; ++part) {
+      lost.push_back({ { UINT64_MAX - part * (1 + crash % 3), 2 }, now });
+    }
+    evidence.RecordCrash(UINT32_MAX - crash, lost, now);
   }
-  const UpstreamLossCounts losses = QuarantinedLosses(quarantine);
-  CHECK(losses.size() >= 30);
-  CHECK(losses.size() < 100);
-  CHECK_FALSE(losses.contains(8));
+  FleetReport report;
+  report.sender = "front-macon-100";
+  report.zone = "macon";
+  report.crashes = evidence.Report(now);
+  CHECK_FALSE(report.crashes.empty());
+  constexpr std::size_t kDatagramBytes = 8 * 1024;
+  CHECK(EncodeFleetReport(report).size() < kDatagramBytes / 2);
+}
+
+TEST_CASE("reports of the former build are read, without crashes")
+{
+  // Guards against a fleet that is deaf while builds are mixed.
+  std::string reason;
+  FleetReport former = MakeReport();
+  former.crashes.clear();
+  std::string bytes = EncodeFleetReport(former);
+  // An array of eight elements, the last one empty, becomes one of seven.
+  REQUIRE(static_cast<unsigned char>(bytes.front()) == 0x88);
+  REQUIRE(static_cast<unsigned char>(bytes.back()) == 0x80);
+  bytes.front() = static_cast<char>(0x87);
+  bytes.pop_back();
+  const auto read = DecodeFleetReport(bytes, reason);
+  REQUIRE(read);
+  CHECK(read->crashes.empty());
+  CHECK(read->load.at(7).requests == 2);
 }
 
 TEST_CASE("reports in a zone of 75 instances fit the control traffic budget")
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -547,6 +547,7 @@
   void Sweep()
   {
     dependencies_.fleet.upstreams.Sweep(dependencies_.timers.Now());
+    dependencies_.fleet.crashEvidence.Sweep(dependencies_.timers.Now());
     if (configurationWatcher_ < watchers_.size()) {
       store::Watcher& watcher = *watchers_[configurationWatcher_];
       dependencies_.mirrors.SetConnected(!watcher.Disconnected());
--- a/src/hibiscusnotch/entry/peer_exchange.cpp
+++ b/src/hibiscusnotch/entry/peer_exchange.cpp
@@ -70,7 +70,7 @@
              options_.zone,
              LocalLoad(fleet_),
              LocalRolloutReport(fleet_, aNow),
-             QuarantinedLosses(fleet_.quarantine) };
+             fleet_.crashEvidence.Report(aNow) };
   }
 
   void SetLocalReport(TimePoint aNow)
@@ -91,8 +91,8 @@
       fleet_,
       aNow);
     lastTotalAt_ = aNow;
-    if (!fleet_.rollouts.AnyUnfinished() &&
-        !fleet_.quarantine.AnyQuarantined()) {
+    const auto crashes = fleet_.crashEvidence.Report(aNow);
+    if (!fleet_.rollouts.AnyUnfinished() && crashes.empty()) {
       return; // load is not exchanged between zones
     }
     const std::string message =
@@ -101,7 +101,7 @@
                           options_.zone,
                           {},
                           rolloutAggregator_.TotalOfMembers(aNow),
-                          QuarantinedLosses(fleet_.quarantine) });
+                          crashes });
     for (const std::string& peer : RemoteAggregators()) {
       SendTo(fleet_.instances[peer].endpoint, message);
     }
@@ -139,9 +139,8 @@
   void OnReport(const FleetReport& aReport, const udp::endpoint& aSender)
   {
     const TimePoint now = timers_.Now();
-    for (const auto& [fingerprint, losses] : aReport.losses) {
-      fleet_.quarantine.Merge(fingerprint, losses);
-    }
+    fleet_.crashEvidence.Merge(aReport.crashes, now);
+    LogQuarantineChanges(fleet_.crashEvidence, log_);
     switch (aReport.kind) {
       case ReportKind::Local:
         loadAggregator_.SetReport(aReport.sender, aReport.load, now);
@@ -171,7 +170,7 @@
                           options_.zone,
                           loadAggregator_.TotalExcluding(aMember, aNow),
                           rolloutAggregator_.TotalExcluding(aMember, aNow),
-                          QuarantinedLosses(fleet_.quarantine) });
+                          fleet_.crashEvidence.Report(aNow) });
     boost::system::error_code error;
     // A lost report is superseded by the next one.
     socket_.send_to(boost::asio::buffer(totals), aEndpoint, 0, error);
--- a/src/hibiscusnotch/entry/peer_exchange_test.cpp
+++ b/src/hibiscusnotch/entry/peer_exchange_test.cpp
@@ -133,7 +133,7 @@
   CHECK(loadAt(2) == doctest::Approx(0)); // load is not exchanged between zones
 }
 
-TEST_CASE("failures and quarantined requests reach all zones")
+TEST_CASE("failures and crashes reach all zones and add up there")
 {
   Fleet fleet;
   for (FleetState& state : fleet.states) {
@@ -143,13 +143,18 @@
     fleet.states[1].rollouts.RecordAnswer(
       "engine", "v2", "r", "r", false, Duration{ 1000 }, fleet.Now());
   }
-  fleet.states[1].quarantine.CountLoss(7);
-  fleet.states[1].quarantine.CountLoss(7);
-  fleet.Run(6);
+  // No instance sees more than one crash.
+  for (const uint32_t crash : { 0U, 1U, 3U }) {
+    const routing::LostTrait fatal{ { 7, 2 }, fleet.Now() };
+    fleet.states[crash].crashEvidence.RecordCrash(
+      crash, { &fatal, 1 }, fleet.Now());
+    fleet.Run(2);
+  }
+  fleet.Run(4);
   for (FleetState& state : fleet.states) {
     CHECK(state.rollouts.NextState("engine", fleet.Now()) ==
           routing::RolloutState::RolledBack);
-    CHECK(state.quarantine.IsQuarantined(7));
+    CHECK(state.crashEvidence.IsQuarantined(7));
   }
 }
 
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -6,10 +6,7 @@
 #include "hibiscusnotch/routing/crash_attribution.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
 #include <cmath>
-#include <cstdio>
 #include <map>
 #include <span>
 #include <unordered_map>
@@ -55,6 +52,9 @@
 constexpr Duration kRetryAfterElsewhere{ 50'000 }; // another one serves it
 // Keeps requests that crash upstreams away for a while.
 constexpr Duration kRetryAfterQuarantine{ 10'000'000 };
+// A process that ends closes its connections a moment before its listener.
+constexpr Duration kCrashProbeDelay{ 50'000 };
+constexpr Duration kCrashProbeTimeout{ 250'000 }; // many round trips
 // Sends beyond the route's attempts, as refused sends are not executions.
 constexpr uint32_t kMaxExtraSends = 3;
 // Responses that are not streams are buffered up to this size.
@@ -75,33 +75,47 @@
   return std::to_string(aDuration.count() / 1000);
 }
 
-/// Hashes of the prompt's parts that other requests may share: all but the
-/// last.
-std::vector<uint64_t>
-SharedPromptParts(const RequestMetadata& aMetadata)
+/// What the request may have in common with others that crash upstreams. The
+/// last part of a prompt belongs to the request alone.
+std::vector<routing::RequestTrait>
+TraitsOf(const net::HttpRequest& aRequest, const RequestMetadata& aMetadata)
 {
-  std::vector<uint64_t> parts;
+  std::vector<routing::RequestTrait> traits;
   for (const PromptSegment& segment : aMetadata.promptSegments) {
-    parts.push_back(core::StableHash(segment.id));
+    traits.push_back({ core::StableHash(segment.id),
+                       static_cast<uint32_t>(traits.size() + 1) });
   }
-  if (!parts.empty()) {
-    parts.pop_back();
+  if (!traits.empty()) {
+    traits.pop_back();
   }
-  return parts;
+  const uint64_t whole =
+    core::MixHash(core::StableHash(aRequest.target),
+                  core::MixHash(core::StableHash(aMetadata.apiKey),
+                                core::StableHash(aRequest.body)));
+  traits.push_back({ whole, routing::RequestTrait::kWholeRequest });
+  return traits;
 }
 
 std::string
-FormatPromptParts(std::span<const uint64_t> aParts)
+FormatPromptParts(std::span<const routing::RequestTrait> aTraits)
 {
   std::string text;
-  for (const uint64_t part : aParts) {
-    std::array<char, 17> digits{};
-    std::snprintf(digits.data(), digits.size(), "%016" PRIx64, part);
-    text += (text.empty() ? "" : ",") + std::string(digits.data());
+  for (const routing::RequestTrait& trait : aTraits) {
+    if (trait.specificity != routing::RequestTrait::kWholeRequest) {
+      text += (text.empty() ? "" : ",") + FormatHash(trait.hash);
+    }
   }
   return text;
 }
 
+/// Identifies a process of an upstream, alike on all instances.
+uint32_t
+IncarnationHash(const routing::UpstreamEntry& aEntry)
+{
+  return static_cast<uint32_t>(core::MixHash(
+    core::StableHash(aEntry.name), static_cast<uint64_t>(aEntry.incarnation)));
+}
+
 std::string_view
 ReasonPhrase(int aStatus)
 {
@@ -146,11 +160,7 @@
     exchange.request = std::move(aRequest);
     exchange.metadata = headerCodec_.ReadRequest(exchange.request);
     exchange.arrivedAt = timers_.Now();
-    exchange.sharedPromptParts = SharedPromptParts(exchange.metadata);
-    exchange.fingerprint =
-      core::MixHash(core::StableHash(exchange.request.target),
-                    core::MixHash(core::StableHash(exchange.metadata.apiKey),
-                                  core::StableHash(exchange.request.body)));
+    exchange.traits = TraitsOf(exchange.request, exchange.metadata);
     if (shuttingDown_) {
       Refuse(
         exchange, kUnavailable, Reason::ShuttingDown, kRetryAfterElsewhere);
@@ -255,11 +265,6 @@
       std::min(route->timeout,
                aExchange.metadata.timeLeft.value_or(route->timeout)) -
       kDeadlineMargin;
-    if (fleet_.quarantine.IsQuarantined(aExchange.fingerprint)) {
-      Refuse(
-        aExchange, kUnavailable, Reason::Quarantined, kRetryAfterQuarantine);
-      return false;
-    }
     if (aExchange.deadline - timers_.Now() < kMinRemainingTime) {
       Refuse(aExchange, kUnavailable, Reason::DeadlinePassed, kRetryAfterBusy);
       return false;
@@ -331,6 +336,10 @@
         !Admit(aExchange)) {
       return;
     }
+    if (MayCrashUpstreams(aExchange)) {
+      GiveUp(aExchange, Reason::Quarantined, kRetryAfterQuarantine);
+      return;
+    }
     Reason reason = Reason::NoUpstream;
     const auto chosen =
       planner_.ChooseUpstream(aExchange, aExchange.modelIndex, reason);
@@ -341,6 +350,29 @@
     Send(aExchange, *chosen);
   }
 
+  /// True if a trait of the request is quarantined, unless it is tried once.
+  bool MayCrashUpstreams(Exchange& aExchange)
+  {
+    routing::CrashEvidence& evidence = fleet_.crashEvidence;
+    if (aExchange.isTrial && aExchange.sends == 0) {
+      return false; // still waits for its only attempt
+    }
+    const auto quarantined =
+      std::ranges::find_if(aExchange.traits, [&](const auto& aTrait) {
+        return evidence.IsQuarantined(aTrait.hash);
+      });
+    if (quarantined == aExchange.traits.end()) {
+      return false;
+    }
+    aExchange.isTrial =
+      aExchange.sends == 0 &&
+      OwnsTrials(fleet_, options_.instanceName, quarantined->hash) &&
+      std::ranges::all_of(aExchange.traits, [&](const auto& aTrait) {
+        return evidence.TryTrial(aTrait.hash, timers_.Now());
+      });
+    return !aExchange.isTrial;
+  }
+
   void WaitForUpstream(Exchange& aExchange, Reason aReason)
   {
     const TimePoint now = timers_.Now();
@@ -567,7 +599,8 @@
                                          attempt.metadata.confidence,
                                          load);
     if (!next || !aExchange.route.RetrySafe() ||
-        aExchange.executions >= aExchange.route.maxAttempts) {
+        aExchange.executions >= aExchange.route.maxAttempts ||
+        MayCrashUpstreams(aExchange)) {
       return false;
     }
     const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
@@ -681,7 +714,7 @@
         " took_ms=" + FormatMilliseconds(timers_.Now() - attempt.sentAt) +
         (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"') +
         (aOutcome == CallOutcome::ConnectionLost
-           ? " prompt_parts=" + FormatPromptParts(exchange.sharedPromptParts)
+           ? " prompt_parts=" + FormatPromptParts(exchange.traits)
            : ""));
     EndAttempt(exchange);
     exchange.lastModel = attempt.model;
@@ -728,7 +761,6 @@
   void OnNotSent(Exchange& aExchange, const Attempt& aAttempt)
   {
     MarkSuspect(aAttempt);
-    AttributeCrash(aAttempt.upstream);
     Retry(aExchange, Reason::UpstreamSuspect, false);
   }
 
@@ -741,32 +773,48 @@
     }
     fleet_.upstreams.RecordOutcome(aAttempt.upstream, false);
     RecordForRollout(aExchange, aAttempt, false);
-    crashAttribution_.RecordLostAttempt(
-      aAttempt.upstream, aExchange.fingerprint, timers_.Now());
+    RecordLostAttempt(aExchange, aAttempt);
     aExchange.events.DropPartialEvent();
     Retry(aExchange, Reason::AttemptLost, true);
   }
 
-  /// The upstream refuses connections: quarantines requests that repeatedly
-  /// crashed upstreams.
-  void AttributeCrash(UpstreamId aUpstream)
-  {
-    const std::vector<uint64_t> suspects =
-      crashAttribution_.TakeSuspects(aUpstream, timers_.Now());
-    if (const routing::Upstream* upstream = fleet_.upstreams.Find(aUpstream);
-        upstream && !suspects.empty()) {
-      log_.Write(EventNumber::UpstreamCrashed,
-                 "upstream=" + upstream->entry.name +
-                   " suspects=" + std::to_string(suspects.size()));
-    }
-    for (const uint64_t fingerprint : suspects) {
-      const uint32_t losses = fleet_.quarantine.CountLoss(fingerprint);
-      if (fleet_.quarantine.IsQuarantined(fingerprint)) {
-        log_.Write(EventNumber::RequestQuarantined,
-                   "fingerprint=" + std::to_string(fingerprint) +
-                     " upstreams_lost=" + std::to_string(losses));
+  /// Finds out by a new connection whether the upstream has crashed.
+  void RecordLostAttempt(Exchange& aExchange, const Attempt& aAttempt)
+  {
+    const UpstreamId id = aAttempt.upstream;
+    const bool isRepeated = std::exchange(aExchange.hasLostUpstream, true);
+    if (!crashAttribution_.RecordLostAttempt(
+          id, aExchange.traits, isRepeated, timers_.Now())) {
+      return; // the probe is under way
+    }
+    timers_.After(kCrashProbeDelay, [this, id] {
+      const routing::Upstream* upstream = fleet_.upstreams.Find(id);
+      if (!upstream) {
+        return;
       }
+      client_.Probe(
+        upstream->entry.endpoint,
+        kCrashProbeTimeout,
+        [this, id, entry = upstream->entry](relay::Reachability aReachability) {
+          OnCrashProbe(id, entry, aReachability);
+        });
+    });
+  }
+
+  void OnCrashProbe(UpstreamId aId,
+                    const routing::UpstreamEntry& aEntry,
+                    relay::Reachability aReachability)
+  {
+    const auto suspects = crashAttribution_.TakeSuspects(aId, timers_.Now());
+    if (aReachability != relay::Reachability::Refuses || suspects.empty()) {
+      return;
     }
+    log_.Write(EventNumber::UpstreamCrashed,
+               "upstream=" + aEntry.name +
+                 " suspects=" + std::to_string(suspects.size()));
+    fleet_.crashEvidence.RecordCrash(
+      IncarnationHash(aEntry), suspects, timers_.Now());
+    LogQuarantineChanges(fleet_.crashEvidence, log_);
   }
 
   void OnComplete(Exchange& aExchange, const Attempt& aAttempt)
@@ -791,6 +839,7 @@
     fleet_.upstreams.RecordOutcome(aAttempt.upstream, good);
     RecordForRollout(aExchange, aAttempt, good);
     if (valid || (good && aAttempt.metadata.sealed)) {
+      RecordCompletion(aExchange);
       SendResponse(aExchange, *aAttempt.head, aAttempt.body);
       return;
     }
@@ -801,6 +850,12 @@
     Retry(aExchange, Reason::UpstreamFailed, true);
   }
 
+  void RecordCompletion(const Exchange& aExchange)
+  {
+    fleet_.crashEvidence.RecordCompletion(aExchange.traits, timers_.Now());
+    LogQuarantineChanges(fleet_.crashEvidence, log_);
+  }
+
   void FinishStream(Exchange& aExchange, const Attempt& aAttempt)
   {
     if (aExchange.events.HasPartialEvent()) {
@@ -808,6 +863,7 @@
       Retry(aExchange, Reason::AttemptLost, true);
       return;
     }
+    RecordCompletion(aExchange);
     if (!aExchange.responseStarted) {
       aExchange.attempt = aAttempt;
       StartResponse(aExchange);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -639,23 +639,13 @@
     if (fixture.client.sent.size() == before) {
       break;
     }
-    // Its connection is lost, and the upstream refuses the next one.
+    // Its upstream ends, and is back as another process.
+    const std::string upstream = fixture.Message(before).substr(0, 2);
+    fixture.client.refusing.insert(upstream);
     fixture.client.End(before, CallOutcome::ConnectionLost);
-    const auto upstream = fixture.Message(before).substr(0, 2);
-    for (int other = 0; other < 8; ++other) {
-      fixture.Request("unsafe");
-      const std::size_t send = fixture.client.sent.size() - 1;
-      const bool crashed = fixture.Message(send).substr(0, 2) == upstream;
-      fixture.client.End(send, CallOutcome::NotSent);
-      while (fixture.client.sent.size() > send + 1 &&
-             fixture.client.IsOpen(fixture.client.sent.size() - 1)) {
-        fixture.client.End(fixture.client.sent.size() - 1,
-                           CallOutcome::NotSent);
-      }
-      if (crashed) {
-        break;
-      }
-    }
+    fixture.timers.Advance(kSecond);
+    fixture.client.refusing.clear();
+    fixture.Add(upstream, time + 1);
     fixture.timers.Advance(5 * kSecond);
     fixture.fleet.configurationConfirmedAt = fixture.timers.Now();
   }
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -231,6 +231,30 @@
   CHECK(end == CallOutcome::NotSent);
 }
 
+TEST_CASE("a probe tells a missing process from one that accepts")
+{
+  Fixture fixture;
+  tcp::acceptor open(fixture.context, { tcp::v4(), 0 });
+  tcp::acceptor closed(fixture.context, { tcp::v4(), 0 });
+  const uint16_t closedPort = closed.local_endpoint().port();
+  closed.close();
+  std::vector<Reachability> seen;
+  const auto report = [&seen](Reachability aReachability) {
+    seen.push_back(aReachability);
+  };
+  const Duration timeout{ 1'000'000 };
+  fixture.client->Probe(
+    { "127.0.0.1", open.local_endpoint().port() }, timeout, report);
+  REQUIRE(fixture.RunUntil([&] { return seen.size() == 1; }));
+  fixture.client->Probe({ "127.0.0.1", closedPort }, timeout, report);
+  REQUIRE(fixture.RunUntil([&] { return seen.size() == 2; }));
+  fixture.client->Probe({ "nowhere", 1 }, Duration{ 10'000 }, report);
+  REQUIRE(fixture.RunUntil([&] { return seen.size() == 3; }));
+  CHECK(seen[0] == Reachability::Accepts);
+  CHECK(seen[1] == Reachability::Refuses);
+  CHECK(seen[2] == Reachability::Unreachable);
+}
+
 TEST_CASE("a truncated response is reported as a lost connection")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -38,6 +38,18 @@
   bool waitingRead = false;
 };
 
+struct PendingProbe
+{
+  explicit PendingProbe(boost::asio::io_context& aContext)
+    : socket(aContext)
+  {
+  }
+
+  tcp::socket socket;
+  TimerId timer = 0;
+  std::function<void(Reachability)> report;
+};
+
 class ConnectionPerCall : public OutboundClient
 {
 public:
@@ -99,6 +111,34 @@
     }
   }
 
+  void Probe(const core::Endpoint& aPeer,
+             Duration aTimeout,
+             std::function<void(Reachability)> aReport) override
+  {
+    const CallId id = ++lastId_;
+    PendingProbe& probe = probes_.try_emplace(id, context_).first->second;
+    probe.report = std::move(aReport);
+    probe.timer = timers_.After(
+      aTimeout, [this, id] { EndProbe(id, Reachability::Unreachable); });
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(aPeer.address, error);
+    if (error) {
+      return; // reported as unreachable at the timeout
+    }
+    probe.socket.async_connect(
+      tcp::endpoint(address, aPeer.port),
+      [this, id](const boost::system::error_code& aError) {
+        if (!aError) {
+          EndProbe(id, Reachability::Accepts);
+        } else {
+          EndProbe(id,
+                   aError == boost::asio::error::connection_refused
+                     ? Reachability::Refuses
+                     : Reachability::Unreachable);
+        }
+      });
+  }
+
   std::size_t Open() const override { return calls_.size(); }
 
 private:
@@ -216,7 +256,7 @@
             ActiveWithin(pending->peer, pending->probeAfterSilence)) {
           StartSilenceTimer(aCall, *pending, pending->probeAfterSilence);
         } else {
-          Probe(aCall, pending->peer, aWait);
+          ProbeSilentPeer(aCall, pending->peer, aWait);
         }
       }
     });
@@ -239,29 +279,36 @@
   }
 
   /// Tests whether the peer of a silent call still accepts connections.
-  void Probe(CallId aCall, const core::Endpoint& aPeer, Duration aWait)
+  void ProbeSilentPeer(CallId aCall,
+                       const core::Endpoint& aPeer,
+                       Duration aWait)
   {
-    OutboundCall probe;
-    probe.to = aPeer;
-    probe.connectTimeout = kProbeTimeout;
-    const CallId id =
-      Start(std::move(probe),
-            { [](const ResponseHead&) {},
-              [](std::string_view) {},
-              [this, aCall](CallOutcome aOutcome, std::string_view aWhy) {
-                if (aOutcome == CallOutcome::NotSent && Find(aCall)) {
-                  End(aCall,
-                      CallOutcome::ConnectionLost,
-                      "silent, and " + std::string(aWhy));
-                }
-              } });
-    // A probe that connects proves no more; close it.
-    timers_.After(kProbeTimeout, [this, id] { Cancel(id); });
+    Probe(aPeer, kProbeTimeout, [this, aCall](Reachability aReachability) {
+      if (aReachability != Reachability::Accepts && Find(aCall)) {
+        End(aCall,
+            CallOutcome::ConnectionLost,
+            aReachability == Reachability::Refuses
+              ? "silent, and connection refused"
+              : "silent, and connect timed out");
+      }
+    });
     if (PendingCall* pending = Find(aCall)) {
       StartSilenceTimer(aCall, *pending, aWait * 2);
     }
   }
 
+  void EndProbe(CallId aProbe, Reachability aReachability)
+  {
+    auto probe = probes_.extract(aProbe);
+    if (probe.empty()) {
+      return;
+    }
+    timers_.Cancel(probe.mapped().timer);
+    boost::system::error_code ignored;
+    probe.mapped().socket.close(ignored);
+    probe.mapped().report(aReachability);
+  }
+
   /// Reports head and body; false if the observer cancelled the call.
   bool Report(CallId aCall, PendingCall& aPending)
   {
@@ -299,6 +346,7 @@
   boost::asio::io_context& context_;
   Timers& timers_;
   std::unordered_map<CallId, PendingCall> calls_;
+  std::unordered_map<CallId, PendingProbe> probes_;
   std::map<std::pair<std::string, uint16_t>, TimePoint> lastActivity_;
   CallId lastId_ = 0;
 };
--- a/src/hibiscusnotch/testing/fake_outbound_client.hpp
+++ b/src/hibiscusnotch/testing/fake_outbound_client.hpp
@@ -41,6 +41,14 @@
     paused[aCall] = aPaused;
   }
 
+  void Probe(const core::Endpoint& aPeer,
+             core::Duration /*aTimeout*/,
+             std::function<void(relay::Reachability)> aReport) override
+  {
+    aReport(refusing.contains(aPeer.address) ? relay::Reachability::Refuses
+                                             : relay::Reachability::Accepts);
+  }
+
   std::size_t Open() const override { return open_.size(); }
 
   /// True if no process listens at the address of the call.
