Do not take an upstream's end for the end of a stream without a length

A stream that has neither a length nor chunks ends with its connection. An upstream that ends before the first event left a complete, empty answer, and so did a resumed stream without a further event; one that ends within an event was retried, but counted neither as a failure of its upstream nor as evidence of a crash.

Cause: only the bytes were looked at, not how the response was delimited. Such a stream is now handled like any broken one. The two new tests fail on the former code. A response that ends with its connection after a whole event stays complete: nothing tells it apart.

--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -28,7 +28,8 @@
   double promptTokens = 0;
   bool promptUnread = true; ///< The upstream has not read the prompt yet.
   bool resumed = false;
-  bool accepted = false; ///< Its response is forwarded to the caller.
+  std::size_t eventsBefore = 0; ///< Events of the stream's former attempts.
+  bool accepted = false;        ///< Its response is forwarded to the caller.
   std::optional<relay::ResponseHead> head;
   ResponseMetadata metadata;
   std::string body; ///< Buffered until complete.
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -412,6 +412,7 @@
     attempt.sentAt = now;
     attempt.promptTokens = aExchange.metadata.promptTokens;
     attempt.resumed = aExchange.responseStarted;
+    attempt.eventsBefore = aExchange.events.EventCount();
     AttemptMetadata metadata;
     metadata.timeLeft = aExchange.deadline + kDeadlineMargin - now;
     metadata.upstream = upstream.entry.name;
@@ -856,11 +857,19 @@
     LogQuarantineChanges(fleet_.crashEvidence, log_);
   }
 
+  /// True if the stream's end is that of its upstream: within an event, or with
+  /// its connection before any event.
+  static bool IsCutOff(const Exchange& aExchange, const Attempt& aAttempt)
+  {
+    return aExchange.events.HasPartialEvent() ||
+           (!aAttempt.head->isSelfDelimited &&
+            aExchange.events.EventCount() == aAttempt.eventsBefore);
+  }
+
   void FinishStream(Exchange& aExchange, const Attempt& aAttempt)
   {
-    if (aExchange.events.HasPartialEvent()) {
-      aExchange.events.DropPartialEvent();
-      Retry(aExchange, Reason::AttemptLost, true);
+    if (IsCutOff(aExchange, aAttempt)) {
+      OnConnectionLost(aExchange, aAttempt);
       return;
     }
     RecordCompletion(aExchange);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -396,6 +396,70 @@
   CHECK(fixture.client.sent.size() == 2);
 }
 
+TEST_CASE("a stream that its upstream's end cut off is not complete")
+{
+  // Guards against a crash that passes for the end of a response without a
+  // length: before the first event, within one, and in a resumed stream.
+  for (const std::string body : { "", "id: 1\nda" }) {
+    Fixture fixture;
+    const auto id = fixture.Request("stream");
+    ResponseHead head = fixture.Head(200);
+    head.isSelfDelimited = false;
+    fixture.client.Head(0, head);
+    fixture.client.Body(0, body);
+    fixture.client.End(0, CallOutcome::Complete);
+    CHECK_FALSE(fixture.Response(id).finished);
+    REQUIRE(fixture.client.sent.size() == 2);
+    fixture.client.Head(1, head);
+    fixture.client.Body(1, "id: 1\ndata: a\n\nid: 2\nda");
+    fixture.client.End(1, CallOutcome::Complete);
+    CHECK_FALSE(fixture.Response(id).finished);
+    REQUIRE(fixture.client.sent.size() == 3);
+    fixture.client.Head(2, head);
+    fixture.client.End(2, CallOutcome::Complete);
+    CHECK_FALSE(fixture.Response(id).finished);
+    CHECK(fixture.Response(id).aborted); // no attempt is left
+  }
+  // One that ends after a whole event is complete.
+  Fixture fixture;
+  const auto id = fixture.Request("stream");
+  ResponseHead head = fixture.Head(200);
+  head.isSelfDelimited = false;
+  fixture.client.Head(0, head);
+  fixture.client.Body(0, "id: 1\ndata: a\n\n");
+  fixture.client.End(0, CallOutcome::Complete);
+  CHECK(fixture.Response(id).finished);
+}
+
+TEST_CASE("a crash that ends responses without a length is evidence")
+{
+  // Guards against fatal prompt parts that go unseen, as their responses look
+  // complete.
+  Fixture fixture;
+  for (int round = 0; round < 4; ++round) {
+    fixture.timers.Advance(kSecond);
+    const std::size_t send = fixture.client.sent.size();
+    fixture.configuration.routes[2].maxAttempts = 1;
+    fixture.Apply();
+    fixture.Request(
+      "stream", "good", "3000", "fatal own" + std::to_string(round));
+    if (fixture.client.sent.size() == send) {
+      break;
+    }
+    const std::string upstream = fixture.Message(send).substr(0, 2);
+    fixture.client.refusing.insert(upstream);
+    ResponseHead head = fixture.Head(200);
+    head.isSelfDelimited = false;
+    fixture.client.Head(send, head);
+    fixture.client.Body(send, "id: 1\nda");
+    fixture.client.End(send, CallOutcome::Complete);
+    fixture.timers.Advance(kSecond / 2);
+    fixture.client.refusing.clear();
+    fixture.Add(upstream, round + 1);
+  }
+  CHECK(fixture.client.sent.size() == 3);
+}
+
 TEST_CASE("a stream that is not resumable is aborted")
 {
   Fixture fixture;
