Reject messages whose framing does not end

Seen in tests only: a chunk's size line or a trailer without end was kept whole until the caller's deadline, from upstreams and from clients alike, and blank lines before a request were read for ever, each of them moving the whole buffer.

Cause: limits were set on heads and bodies; what the parser leaves in the buffer between them had none. It is now limited like a head, and four blank lines may precede a request.

--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -17,8 +17,11 @@
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
-// Far above what upstreams send.
+constexpr std::string_view kLineEnd = "\r\n";
+// Far above what upstreams send; also limits a chunk's size line and trailers.
 constexpr std::size_t kMaxResponseHeaderBytes = 64 * 1024;
+// Before a request; RFC 9112, section 2.2, allows at least one.
+constexpr std::size_t kMaxBlankLines = 4;
 
 bool
 EqualNoCase(std::string_view aLeft, std::string_view aRight)
@@ -152,6 +155,10 @@
         parser_->put(boost::asio::buffer(aBuffer), error);
       aBuffer.erase(0, taken);
       if (error == http::error::need_more) {
+        // The rest is part of a chunk's size line or of the trailers.
+        if (aBuffer.size() > limits_.maxHeaderBytes) {
+          return Fail(kHeaderTooLarge);
+        }
         break;
       }
       if (error) {
@@ -192,6 +199,7 @@
 private:
   void ResetParser()
   {
+    blankLines_ = 0;
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
@@ -206,9 +214,15 @@
 
   bool HeaderIsComplete(std::string& aBuffer)
   {
-    while (aBuffer.starts_with("\r\n")) {
-      aBuffer.erase(0, 2);
+    std::size_t blank = 0;
+    while (aBuffer.compare(blank, kLineEnd.size(), kLineEnd) == 0) {
+      blank += kLineEnd.size();
+      if (++blankLines_ > kMaxBlankLines) {
+        errorStatus_ = kBadRequest;
+        return false;
+      }
     }
+    aBuffer.erase(0, blank);
     const std::size_t end = aBuffer.find(kHeaderEnd);
     if (end == std::string::npos) {
       if (aBuffer.size() > limits_.maxHeaderBytes) {
@@ -246,6 +260,7 @@
 
   RequestLimits limits_;
   std::optional<MessageCollector<true>> parser_;
+  std::size_t blankLines_ = 0;
   bool keepAlive_ = true;
   int errorStatus_ = 0;
 };
@@ -270,6 +285,7 @@
       aBuffer.erase(0, taken);
       UpdateHead();
       if (error == http::error::need_more) {
+        malformed_ = aBuffer.size() > kMaxResponseHeaderBytes;
         break;
       }
       malformed_ = malformed_ || error;
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -159,3 +159,85 @@
   std::string buffer = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n";
   CHECK(reader->Read(buffer) == ReadState::Complete);
 }
+
+namespace {
+
+/// A message that starts with the prefix and goes on with the unit for ever.
+struct EndlessMessage
+{
+  std::string prefix;
+  std::string unit;
+};
+
+constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kMaxPieces = 64;
+constexpr std::size_t kMaxHeldBytes = 160 * 1024;
+
+/// True if the reader rejects the message before it holds too many bytes.
+template<class Reader>
+bool
+RejectsInTime(Reader& aReader, const EndlessMessage& aMessage)
+{
+  std::string buffer = aMessage.prefix;
+  for (std::size_t piece = 0; piece < kMaxPieces; ++piece) {
+    for (std::size_t size = 0; size < kPieceBytes;
+         size += aMessage.unit.size()) {
+      buffer += aMessage.unit;
+    }
+    if (aReader.Read(buffer) == ReadState::Malformed) {
+      return true;
+    }
+    if (buffer.size() > kMaxHeldBytes) {
+      return false;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("a response without end outside its body is rejected")
+{
+  // Guards against an upstream that fills memory by a head, a chunk's size
+  // line or a trailer that does not end.
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const EndlessMessage& message :
+       std::vector<EndlessMessage>{ { "", "x" },
+                                    { "HTTP/1.1 200 ", "x" },
+                                    { "HTTP/1.1 200 OK\r\nX: ", "x" },
+                                    { "HTTP/1.1 200 OK\r\n", "X: y\r\n" },
+                                    { chunked + "5;", "x" },
+                                    { chunked, "0" },
+                                    { chunked + "0\r\n", "X: y\r\n" },
+                                    { chunked + "0\r\nX: ", "x" } }) {
+    CAPTURE(message.prefix);
+    CAPTURE(message.unit);
+    const auto reader = MakeResponseReader(false);
+    CHECK(RejectsInTime(*reader, message));
+  }
+}
+
+TEST_CASE("a request without end is rejected")
+{
+  // Guards against a peer that fills memory by a request that does not end.
+  const std::string chunked =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const EndlessMessage& message : std::vector<EndlessMessage>{
+         { "", "x" },
+         { "", "\r\n" },
+         { "GET /", "x" },
+         { "GET / HTTP/1.1\r\nHost: h\r\n", "X: y\r\n" },
+         { chunked + "5;", "x" },
+         { chunked, "0" },
+         { chunked, "1\r\nx\r\n" },
+         { chunked + "0\r\n", "X: y\r\n" },
+         { chunked + "0\r\nX: ", "x" } }) {
+    CAPTURE(message.prefix);
+    CAPTURE(message.unit);
+    RequestLimits limits;
+    limits.maxBodyBytes = 64 * 1024;
+    const auto reader = MakeRequestReader(limits);
+    CHECK(RejectsInTime(*reader, message));
+  }
+}
