Fail a fetch whose body does not end

Seen in a test only: a store or a peer that does not end its response filled memory until the call's timeout, 1.2 s or more at the speed of the link. A body of over 16 MB is now a failure, as a timeout is. The test fails on the former code: 32 MB were taken.

--- a/include/hibiscusnotch/relay/fetcher.hpp
+++ b/include/hibiscusnotch/relay/fetcher.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/relay/outbound_client.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -25,6 +26,9 @@
 class Fetcher
 {
 public:
+  /// @brief A longer body is a failure; lists of the store have a few MB.
+  static constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
+
   Fetcher(OutboundClient& aClient, Timers& aTimers);
 
   FetchId Start(OutboundCall aCall, Duration aTimeout, FetchCallback aDone);
--- a/src/hibiscusnotch/relay/fetcher.cpp
+++ b/src/hibiscusnotch/relay/fetcher.cpp
@@ -19,7 +19,12 @@
     response.headers = aHead.headers;
   };
   observer.onBody = [this, id](std::string_view aBytes) {
-    pending_.at(id).response.body.append(aBytes);
+    std::string& body = pending_.at(id).response.body;
+    if (body.size() + aBytes.size() > kMaxBodyBytes) {
+      End(id, false);
+    } else {
+      body.append(aBytes);
+    }
   };
   observer.onEnd = [this, id](CallOutcome aEnd, std::string_view) {
     End(id, aEnd == CallOutcome::Complete);
--- a/src/hibiscusnotch/relay/fetcher_test.cpp
+++ b/src/hibiscusnotch/relay/fetcher_test.cpp
@@ -69,3 +69,22 @@
     CHECK(fixture.client.Open() == 0);
   }
 }
+
+TEST_CASE("a body without end fails before it fills memory")
+{
+  // Guards against a store or a peer that never ends its response.
+  Fixture fixture;
+  fixture.Start();
+  ResponseHead head;
+  head.status = 200;
+  fixture.client.Head(0, head);
+  const std::string piece(1024 * 1024, 'x');
+  for (std::size_t sent = 0;
+       sent < 2 * Fetcher::kMaxBodyBytes && !fixture.status;
+       sent += piece.size()) {
+    fixture.client.Body(0, piece);
+  }
+  CHECK(fixture.status == 0);
+  CHECK(fixture.client.Open() == 0);
+  CHECK(fixture.body.size() <= Fetcher::kMaxBodyBytes);
+}
