Give up answers that do not end before they fill memory

Seen in tests only: one event without end grew until the caller's deadline and was searched anew for each piece; bodies were limited to 4 MB each, but forty upstreams at once held 160 MB on machines of 88 MB.

An event may have 256 KB and is searched once; all buffered bodies together may have 16 MB, above that the largest is given up. Such an attempt counts as broken off: it goes on elsewhere if it may, else the caller gets 502. Trickling bodies end at the deadline, as before; that has a test now.

--- a/include/hibiscusnotch/relay/event_splitter.hpp
+++ b/include/hibiscusnotch/relay/event_splitter.hpp
@@ -11,16 +11,26 @@
 class EventSplitter
 {
 public:
+  /// @brief Far above the size of events, which hold a few tokens.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
   /// @brief Appends bytes; returns the events that are now complete, unchanged.
   std::string Feed(std::string_view aBytes);
 
+  /// @brief True if the incomplete event is longer than any event may be.
+  bool IsEventTooLong() const { return partial_.size() > kMaxEventBytes; }
+
   /// @brief The id of the last complete event; empty if there was none.
   const std::string& LastId() const { return lastId_; }
   /// @brief True while an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
   /// @brief Drops the incomplete event, before another source resumes the
   /// stream.
-  void DropPartialEvent() { partial_.clear(); }
+  void DropPartialEvent()
+  {
+    partial_.clear();
+    searched_ = 0;
+  }
   /// @brief Number of complete events so far.
   std::size_t EventCount() const { return events_; }
 
@@ -28,6 +38,7 @@
   void ParseEvent(std::string_view aEvent);
 
   std::string partial_;
+  std::size_t searched_ = 0; ///< Bytes of it without the end of an event.
   std::string lastId_;
   std::size_t events_ = 0;
 };
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -59,6 +59,8 @@
 constexpr uint32_t kMaxExtraSends = 3;
 // Responses that are not streams are buffered up to this size.
 constexpr std::size_t kMaxBufferedBodyBytes = 4 * 1024 * 1024;
+// The same for all of them together; the smallest machines have 88 MB.
+constexpr std::size_t kMaxBufferedBytes = 16 * 1024 * 1024;
 // Bytes of one response that may wait for a slow caller; above it, the
 // upstream is paused.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
@@ -639,18 +641,46 @@
     Attempt& attempt = *exchange.attempt;
     if (attempt.accepted) {
       const std::string events = exchange.events.Feed(aBytes);
+      const bool tooLong = exchange.events.IsEventTooLong();
       if (!events.empty()) {
         ForwardEvents(exchange, events);
       }
+      if (tooLong) {
+        BreakOff(aId, "event too long");
+      }
       return;
     }
     attempt.body.append(aBytes);
+    bufferedBytes_ += aBytes.size();
     if (attempt.body.size() > kMaxBufferedBodyBytes) {
-      client_.Cancel(attempt.call);
-      OnAttemptEnd(aId, CallOutcome::ConnectionLost, "response body too large");
+      BreakOff(aId, "response body too large");
+    } else if (bufferedBytes_ > kMaxBufferedBytes) {
+      BreakOff(LargestBufferedBody(), "response bodies take too much memory");
     }
   }
 
+  /// Ends an attempt whose response does not end.
+  void BreakOff(ExchangeId aId, std::string_view aWhy)
+  {
+    const auto found = exchanges_.find(aId);
+    if (found != exchanges_.end() && found->second.attempt) {
+      client_.Cancel(found->second.attempt->call);
+      OnAttemptEnd(aId, CallOutcome::ConnectionLost, aWhy);
+    }
+  }
+
+  ExchangeId LargestBufferedBody() const
+  {
+    return std::ranges::max_element(exchanges_,
+                                    {},
+                                    [](const auto& aEntry) {
+                                      const auto& attempt =
+                                        aEntry.second.attempt;
+                                      return attempt ? attempt->body.size() : 0;
+                                    })
+      ->first;
+  }
+
   void ForwardEvents(Exchange& aExchange, const std::string& aEvents)
   {
     StartResponse(aExchange);
@@ -693,6 +723,7 @@
     }
     timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
+    bufferedBytes_ -= attempt.body.size();
     MarkPromptRead(attempt);
     planner_.RecordSessionVersion(aExchange, attempt);
     fleet_.upstreams.RecordEnd(attempt.upstream);
@@ -1050,6 +1081,7 @@
   std::unordered_map<ExchangeId, Exchange> exchanges_;
   std::map<std::string, routing::RetryBudget> retryBudgets_;
   routing::CrashAttribution crashAttribution_;
+  std::size_t bufferedBytes_ = 0; ///< Of response bodies.
   bool shuttingDown_ = false;
 };
 
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -460,6 +460,85 @@
   CHECK(fixture.client.sent.size() == 3);
 }
 
+TEST_CASE("bodies without end are given up before they fill memory")
+{
+  // Guards against upstreams that never end their answers: one large answer is
+  // no fault, many at once must not take the machine.
+  constexpr std::size_t kRequests = 40;
+  constexpr std::size_t kMaxBytes = 24 * 1024 * 1024;
+  Fixture fixture;
+  std::vector<relay::ExchangeId> ids;
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    ids.push_back(fixture.Request("unsafe"));
+    fixture.client.Head(request, fixture.Head(200));
+  }
+  const std::string piece(64 * 1024, 'x');
+  std::vector<std::size_t> held(kRequests, 0);
+  std::size_t most = 0;
+  for (int round = 0; round < 100; ++round) {
+    for (std::size_t request = 0; request < kRequests; ++request) {
+      if (fixture.client.IsOpen(request)) {
+        held[request] += piece.size();
+        fixture.client.Body(request, piece);
+      }
+    }
+    std::size_t total = 0;
+    for (std::size_t request = 0; request < kRequests; ++request) {
+      total += fixture.client.IsOpen(request) ? held[request] : 0;
+    }
+    most = std::max(most, total);
+  }
+  CHECK(most <= kMaxBytes);
+  CHECK(fixture.client.Open() == 0);
+  for (const relay::ExchangeId id : ids) {
+    CHECK(fixture.Response(id).status == 502); // it has run
+  }
+  // The room is free again.
+  const auto id = fixture.Request("unsafe");
+  fixture.client.Head(kRequests, fixture.Head(200));
+  fixture.client.Body(kRequests, std::string(1024 * 1024, 'x'));
+  fixture.client.End(kRequests, CallOutcome::Complete);
+  CHECK(fixture.Response(id).status == 200);
+}
+
+TEST_CASE("an event without end is given up before it fills memory")
+{
+  Fixture fixture;
+  const auto id = fixture.Request("stream");
+  fixture.client.Head(0, fixture.Head(200));
+  fixture.client.Body(0, "id: 1\ndata: a\n\n");
+  std::size_t fed = 0;
+  const std::string piece(64 * 1024, 'x');
+  while (fixture.client.IsOpen(0) && fed < 100 * piece.size()) {
+    fixture.client.Body(0, piece);
+    fed += piece.size();
+  }
+  CHECK(fed <= 1024 * 1024);
+  REQUIRE(fixture.client.sent.size() == 2); // it goes on elsewhere
+  CHECK(Contains(fixture.Message(1), "after=1"));
+  CHECK(fixture.Response(id).body == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("a body that trickles without end is answered at the deadline")
+{
+  for (const std::string route : { "unsafe", "safe", "stream" }) {
+    Fixture fixture;
+    const auto id = fixture.Request(route);
+    for (int second = 0; second < 40; ++second) {
+      fixture.timers.Advance(kSecond / 10);
+      fixture.Apply();
+      for (std::size_t send = 0; send < fixture.client.sent.size(); ++send) {
+        if (fixture.client.IsOpen(send)) {
+          fixture.client.Head(send, fixture.Head(200));
+          fixture.client.Body(send, "x");
+        }
+      }
+    }
+    CHECK(fixture.client.Open() == 0);
+    CHECK((fixture.Response(id).status == 504 || fixture.Response(id).aborted));
+  }
+}
+
 TEST_CASE("a stream that is not resumable is aborted")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/relay/event_splitter.cpp
+++ b/src/hibiscusnotch/relay/event_splitter.cpp
@@ -1,16 +1,22 @@
 #include "hibiscusnotch/relay/event_splitter.hpp"
 
+#include <algorithm>
+
 namespace hibiscusnotch::relay {
 
 namespace {
 
 constexpr std::string_view kIdField = "id:";
 
-/// The offset after the first event's blank line; npos if it is incomplete.
+// An event ends with two line ends, of which the second has two bytes at most.
+constexpr std::size_t kMaxSplitEnd = 2;
+
+/// The offset after the first event's blank line that ends at the offset or
+/// after it; npos if there is none.
 std::size_t
-EventEnd(std::string_view aText)
+EventEnd(std::string_view aText, std::size_t aFrom)
 {
-  for (std::size_t at = aText.find('\n'); at != std::string_view::npos;
+  for (std::size_t at = aText.find('\n', aFrom); at != std::string_view::npos;
        at = aText.find('\n', at + 1)) {
     std::size_t next = at + 1;
     if (next < aText.size() && aText[next] == '\r') {
@@ -32,12 +38,14 @@
   std::size_t complete = 0;
   while (true) {
     const std::string_view rest = std::string_view(partial_).substr(complete);
-    const std::size_t end = EventEnd(rest);
+    const std::size_t end = EventEnd(rest, searched_);
     if (end == std::string_view::npos) {
+      searched_ = rest.size() - std::min(rest.size(), kMaxSplitEnd);
       break;
     }
     ParseEvent(rest.substr(0, end));
     complete += end;
+    searched_ = 0;
   }
   std::string events = partial_.substr(0, complete);
   partial_.erase(0, complete);
--- a/src/hibiscusnotch/relay/event_splitter_test.cpp
+++ b/src/hibiscusnotch/relay/event_splitter_test.cpp
@@ -29,3 +29,30 @@
   CHECK(splitter.Feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
   CHECK(splitter.LastId() == "2");
 }
+
+TEST_CASE("events pass unchanged byte by byte")
+{
+  const std::string stream = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n"
+                             "id: 3\ndata: c\n\r\n";
+  EventSplitter splitter;
+  std::string out;
+  for (const char byte : stream) {
+    out += splitter.Feed({ &byte, 1 });
+  }
+  CHECK(out == stream);
+  CHECK(splitter.EventCount() == 3);
+}
+
+TEST_CASE("an event without end is noticed, in linear time")
+{
+  // Guards against an upstream whose event fills memory or, searched anew for
+  // each piece, takes the processor.
+  EventSplitter splitter;
+  std::size_t fed = 0;
+  while (!splitter.IsEventTooLong() &&
+         fed < 4 * EventSplitter::kMaxEventBytes) {
+    splitter.Feed("x");
+    ++fed;
+  }
+  CHECK(fed == EventSplitter::kMaxEventBytes + 1);
+}
