Limit the time of a request's whole body, not of each piece

Seen in a test only: each byte of a body started its time-out anew, so that a client could hold a connection for ever. The time now runs from the head's end; then the client gets 408, which is true, as nothing was sent on. The new test fails on the former code.

--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -20,7 +20,7 @@
   core::Endpoint endpoint;
   RequestLimits limits;
   Duration headerTimeout{ 3'000'000 };
-  Duration bodyTimeout{ 30'000'000 };
+  Duration bodyTimeout{ 30'000'000 }; ///< For the whole body.
   Duration idleTimeout{ 15'000'000 };
 };
 
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -49,6 +49,7 @@
   bool waitingRead = false;
   bool waitingWrite = false;
   bool continueSent = false;
+  bool bodyStarted = false;
   TimerId timer = 0;
 };
 
@@ -346,7 +347,8 @@
         connection->phase = Phase::Receiving;
         SetTimer(aId, *connection, options_.headerTimeout);
       }
-      if (connection->reader->WaitsForBody()) {
+      if (connection->reader->WaitsForBody() && !connection->bodyStarted) {
+        connection->bodyStarted = true;
         SetTimer(aId, *connection, options_.bodyTimeout);
       }
       if (connection->reader->ExpectsContinue() && !connection->continueSent) {
@@ -363,6 +365,7 @@
     timers_.Cancel(std::exchange(connection->timer, 0));
     net::HttpRequest request = connection->reader->TakeRequest();
     connection->closeAfterResponse = !connection->reader->KeepAlive();
+    connection->bodyStarted = false;
     connection->phase = Phase::Serving;
     const ExchangeId exchange = ++connection->exchange;
     ++openExchanges_;
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -189,6 +189,29 @@
   CHECK(slow.received.starts_with("HTTP/1.1 408 "));
 }
 
+TEST_CASE("a request whose body trickles without end is answered by 408")
+{
+  // Guards against clients that hold a connection by single bytes.
+  ListenerOptions options;
+  options.bodyTimeout = core::Duration{ 150'000 };
+  Fixture fixture(options);
+  fixture.Connect();
+  fixture.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+  const auto start = std::chrono::steady_clock::now();
+  const auto elapsed = [&start] {
+    return std::chrono::steady_clock::now() - start;
+  };
+  std::string received;
+  while (received.empty() && elapsed() < std::chrono::seconds(2)) {
+    fixture.Send("x");
+    fixture.context.run_for(std::chrono::milliseconds(20));
+    fixture.context.restart();
+    received = fixture.Receive();
+  }
+  CHECK(received.starts_with("HTTP/1.1 408"));
+  CHECK(fixture.requests.empty());
+}
+
 TEST_CASE("a call reports head, body and outcome")
 {
   Fixture fixture;
