Give up responses and requests of the chat interface that do not end

Seen in tests only: the client of engines and of the platform collected a body without limit, each byte started its timeout anew, and both client and server buffered a chunk's size line or trailers without limit.

A collected response may have 16 MB and its timeout is that of the whole; what is not parsed is limited like a head. The three new tests fail on the former code (64 MB taken, a trickle never given up, no rejection).

--- a/include/hibiscusnotch/net/http_client.hpp
+++ b/include/hibiscusnotch/net/http_client.hpp
@@ -27,6 +27,8 @@
   core::Duration connectTimeout{ 300'000 };
   core::Duration timeout{ 10'000'000 }; ///< Of each write or read.
   bool newConnection = false;           ///< Bypasses the pool.
+  /// @brief The timeout is that of the whole response; set by Send.
+  bool timeoutIsTotal = false;
 };
 
 enum class CallOutcome
--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+// What is not parsed yet; also limits a chunk's size line and trailers.
+constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
+// Of a response that is delivered as a whole.
+constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
 
 using Connection = std::unique_ptr<beast::tcp_stream>;
@@ -119,12 +123,23 @@
     observer.onHead = [response](const HttpResponse& aHead) {
       *response = aHead;
     };
-    observer.onData = [response](std::string_view aData) {
-      response->body += aData;
+    const HttpCallId id = lastCall_ + 1;
+    const auto tooLong = std::make_shared<bool>(false);
+    observer.onData = [this, id, response, tooLong](std::string_view aData) {
+      *tooLong =
+        *tooLong || response->body.size() + aData.size() > kMaxBodyBytes;
+      if (*tooLong) {
+        Close(*calls_.at(id)); // the next read fails
+      } else {
+        response->body += aData;
+      }
     };
-    observer.onEnd = [response, done = std::move(aDone)](CallOutcome aOutcome) {
-      done(aOutcome, std::move(*response));
+    observer.onEnd = [response, tooLong, done = std::move(aDone)](
+                       CallOutcome aOutcome) {
+      done(*tooLong ? CallOutcome::ConnectionLost : aOutcome,
+           std::move(*response));
     };
+    aCall.timeoutIsTotal = true;
     return Stream(std::move(aCall), std::move(observer));
   }
 
@@ -293,7 +308,7 @@
                                             beast::tcp_stream& aStream,
                                             bool& aReusable)
   {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     Parser parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(boost::none);
@@ -318,7 +333,9 @@
       }
       parser.get().body().data = data.data();
       parser.get().body().size = data.size();
-      aStream.expires_after(aCall.timeout);
+      if (!aCall.timeoutIsTotal) {
+        aStream.expires_after(aCall.timeout);
+      }
       const auto [failed, count] =
         co_await http::async_read_some(aStream, buffer, parser, kAwaitAsTuple);
       if (!*aAlive || !calls_.contains(aId)) {
--- a/src/hibiscusnotch/net/http_server.cpp
+++ b/src/hibiscusnotch/net/http_server.cpp
@@ -29,6 +29,9 @@
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr unsigned kHttpVersion = 11;
+// What is not parsed yet, beyond a head; also limits a chunk's size line and
+// trailers.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 
 /// The response of one exchange, queued by the owner and sent by the
 /// connection's coroutine.
@@ -224,7 +227,7 @@
   asio::awaitable<void> ServeConnection(Alive aAlive, tcp::socket aSocket)
   {
     beast::tcp_stream stream(std::move(aSocket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(options_.maxHeaderBytes + kMaxUnparsedBytes);
     const uint64_t connectionId = ++lastConnection_;
     connections_[connectionId] = &stream;
     bool keepOpen = true;
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -1,12 +1,14 @@
 #include "hibiscusnotch/net/http_client.hpp"
 #include "hibiscusnotch/net/http_server.hpp"
 
+#include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <optional>
 #include <thread>
 
 using namespace hibiscusnotch;
@@ -44,6 +46,9 @@
       server->Write(aId, "one ");
       server->Write(aId, "two");
       server->FinishStream(aId);
+    } else if (aRequest.target == "/trickle") {
+      trickling = aId;
+      server->StartStream(aId, 200, {});
     } else if (aRequest.target != "/hang") {
       server->Respond(aId, 200, {}, aRequest.body);
     }
@@ -51,6 +56,7 @@
 
   int requests = 0;
   int disconnects = 0;
+  ExchangeId trickling = 0;
   std::unique_ptr<HttpServer> server;
 };
 
@@ -159,3 +165,106 @@
   context.run_for(std::chrono::milliseconds(100));
   CHECK(outcome == CallOutcome::NotSent);
 }
+
+namespace {
+
+/// An upstream that sends a prefix, then a unit again and again.
+struct EndlessUpstream
+{
+  EndlessUpstream(std::string aPrefix, std::string aUnit)
+    : prefix(std::move(aPrefix))
+    , unit(std::move(aUnit))
+    , acceptor(context, { boost::asio::ip::make_address(kEndpoint.address), 0 })
+    , thread([this] { Serve(); })
+  {
+  }
+
+  void Serve()
+  {
+    constexpr std::size_t kMostBytes = 64 * 1024 * 1024;
+    boost::system::error_code error;
+    tcp::socket socket(context);
+    acceptor.accept(socket, error);
+    boost::asio::write(socket, boost::asio::buffer(prefix), error);
+    std::string piece;
+    while (piece.size() < 64 * 1024) {
+      piece += unit;
+    }
+    while (!error && sent < kMostBytes) {
+      sent += boost::asio::write(socket, boost::asio::buffer(piece), error);
+    }
+  }
+
+  std::string prefix;
+  std::string unit;
+  std::atomic<std::size_t> sent = 0;
+  boost::asio::io_context context;
+  tcp::acceptor acceptor;
+  std::jthread thread;
+};
+
+} // namespace
+
+TEST_CASE("a response without end is given up before it fills memory")
+{
+  // Guards against an upstream or a platform that never ends a response.
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const auto& [prefix, unit] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+         { "HTTP/1.1 200 OK\r\nX: ", "x" },
+         { chunked + "5;", "x" },
+         { chunked + "0\r\n", "X: y\r\n" } }) {
+    CAPTURE(prefix);
+    EndlessUpstream upstream(prefix, unit);
+    boost::asio::io_context context;
+    const auto client = MakeHttpClient(context, nullptr);
+    HttpCall call;
+    call.to = { kEndpoint.address, upstream.acceptor.local_endpoint().port() };
+    std::optional<CallOutcome> outcome;
+    client->Send(call, [&](CallOutcome aOutcome, const HttpResponse&) {
+      outcome = aOutcome;
+    });
+    for (int step = 0; step < 500 && !outcome; ++step) {
+      context.run_for(std::chrono::milliseconds(10));
+      context.restart();
+    }
+    CHECK(outcome == CallOutcome::ConnectionLost);
+    CHECK(upstream.sent < 32UL * 1024 * 1024); // with the sockets' buffers
+    client->CloseAll();
+  }
+}
+
+TEST_CASE("a response that trickles without end is given up in time")
+{
+  boost::asio::io_context context;
+  EchoServer echo(context);
+  const auto client = MakeHttpClient(context, nullptr);
+  HttpCall call;
+  call.to = kEndpoint;
+  call.target = "/trickle";
+  call.timeout = core::Duration(200'000);
+  std::optional<CallOutcome> outcome;
+  client->Send(call, [&](CallOutcome aOutcome, const HttpResponse&) {
+    outcome = aOutcome;
+  });
+  for (int step = 0; step < 100 && !outcome; ++step) {
+    context.run_for(std::chrono::milliseconds(20));
+    context.restart();
+    echo.server->Write(echo.trickling, "x");
+  }
+  CHECK(outcome == CallOutcome::ConnectionLost);
+}
+
+TEST_CASE("a request without end is rejected before it fills memory")
+{
+  boost::asio::io_context context;
+  EchoServer echo(context);
+  const std::string chunked =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string response =
+    SendRaw(context, chunked + "5;" + std::string(4 * 1024 * 1024, 'x'));
+  CHECK(response.starts_with("HTTP/1.1 4"));
+  CHECK(echo.requests == 0);
+}
