Do not take an upstream's announced end for a crash

Found by reading: an upstream that leaves, or whose entry was removed, ends with attempts under way and then refuses connections, like a crashed one. In a rolling replacement a rare prompt part could be refused for it. Such an end is now no evidence; the new test fails without the condition.

--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -338,7 +338,7 @@
         !Admit(aExchange)) {
       return;
     }
-    if (MayCrashUpstreams(aExchange)) {
+    if (IsQuarantined(aExchange)) {
       GiveUp(aExchange, Reason::Quarantined, kRetryAfterQuarantine);
       return;
     }
@@ -352,8 +352,9 @@
     Send(aExchange, *chosen);
   }
 
-  /// True if a trait of the request is quarantined, unless it is tried once.
-  bool MayCrashUpstreams(Exchange& aExchange)
+  /// True if a trait of the request is quarantined. Grants the trait's trial if
+  /// one is due: then the request may be sent once.
+  bool IsQuarantined(Exchange& aExchange)
   {
     routing::CrashEvidence& evidence = fleet_.crashEvidence;
     if (aExchange.isTrial && aExchange.sends == 0) {
@@ -603,7 +604,7 @@
                                          load);
     if (!next || !aExchange.route.RetrySafe() ||
         aExchange.executions >= aExchange.route.maxAttempts ||
-        MayCrashUpstreams(aExchange)) {
+        IsQuarantined(aExchange)) {
       return false;
     }
     const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
@@ -814,22 +815,21 @@
   void RecordLostAttempt(Exchange& aExchange, const Attempt& aAttempt)
   {
     const UpstreamId id = aAttempt.upstream;
+    const routing::Upstream* upstream = fleet_.upstreams.Find(id);
+    if (!upstream || upstream->announcedLeaving || upstream->removed) {
+      return; // it has ended as announced
+    }
     const bool isRepeated = std::exchange(aExchange.hasLostUpstream, true);
     if (!crashAttribution_.RecordLostAttempt(
           id, aExchange.traits, isRepeated, timers_.Now())) {
       return; // the probe is under way
     }
-    timers_.After(kCrashProbeDelay, [this, id] {
-      const routing::Upstream* upstream = fleet_.upstreams.Find(id);
-      if (!upstream) {
-        return;
-      }
-      client_.Probe(
-        upstream->entry.endpoint,
-        kCrashProbeTimeout,
-        [this, id, entry = upstream->entry](relay::Reachability aReachability) {
-          OnCrashProbe(id, entry, aReachability);
-        });
+    timers_.After(kCrashProbeDelay, [this, id, entry = upstream->entry] {
+      client_.Probe(entry.endpoint,
+                    kCrashProbeTimeout,
+                    [this, id, entry](relay::Reachability aReachability) {
+                      OnCrashProbe(id, entry, aReachability);
+                    });
     });
   }
 
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -796,6 +796,32 @@
   CHECK(Contains(fixture.Response(id).body, "quarantined"));
 }
 
+TEST_CASE("upstreams that end as announced are no evidence of a crash")
+{
+  // Guards against a rolling replacement that quarantines what ran there.
+  Fixture fixture;
+  for (int round = 0; round < 8; ++round) {
+    fixture.timers.Advance(kSecond);
+    fixture.Apply();
+    const std::size_t send = fixture.client.sent.size();
+    fixture.Request("unsafe", "good", "3000", "rare own");
+    REQUIRE(fixture.client.sent.size() == send + 1);
+    const std::string name = fixture.Message(send).substr(0, 2);
+    if (round % 2 == 0) {
+      fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+    } else {
+      fixture.fleet.upstreams.RecordLeaving(
+        *fixture.fleet.upstreams.FindByName(name), fixture.timers.Now());
+    }
+    fixture.client.refusing.insert(name);
+    fixture.client.End(send, CallOutcome::ConnectionLost);
+    fixture.timers.Advance(kSecond);
+    fixture.client.refusing.clear();
+    fixture.Add(name, round + 1);
+  }
+  CHECK_FALSE(fixture.fleet.crashEvidence.AnyQuarantined());
+}
+
 TEST_CASE("a prompt part that crashes upstreams is refused")
 {
   // Guards against requests that share one part of their prompts, are otherwise
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -210,14 +210,13 @@
   // Guards against an upstream or a platform that never ends a response.
   const std::string chunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-  for (const auto& [prefix, unit] :
-       std::vector<std::pair<std::string, std::string>>{
+  for (const auto& message : std::vector<std::pair<std::string, std::string>>{
          { "HTTP/1.1 200 OK\r\n\r\n", "x" },
          { "HTTP/1.1 200 OK\r\nX: ", "x" },
          { chunked + "5;", "x" },
          { chunked + "0\r\n", "X: y\r\n" } }) {
-    CAPTURE(prefix);
-    EndlessUpstream upstream(prefix, unit);
+    CAPTURE(message.first);
+    EndlessUpstream upstream(message.first, message.second);
     boost::asio::io_context context;
     const auto client = MakeHttpClient(context, nullptr);
     HttpCall call;
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -127,8 +127,9 @@
     }
     probe.socket.async_connect(
       tcp::endpoint(address, aPeer.port),
-      [this, id](const boost::system::error_code& aError) {
+      [this, id, aPeer](const boost::system::error_code& aError) {
         if (!aError) {
+          RecordActivity(aPeer);
           EndProbe(id, Reachability::Accepts);
         } else {
           EndProbe(id,
--- a/src/hibiscusnotch/routing/crash_attribution_test.cpp
+++ b/src/hibiscusnotch/routing/crash_attribution_test.cpp
@@ -22,6 +22,7 @@
 Hashes(const std::vector<LostTrait>& aTraits)
 {
   std::vector<uint64_t> hashes;
+  hashes.reserve(aTraits.size());
   for (const LostTrait& lost : aTraits) {
     hashes.push_back(lost.trait.hash);
   }
--- a/src/hibiscusnotch/routing/crash_evidence.cpp
+++ b/src/hibiscusnotch/routing/crash_evidence.cpp
@@ -66,13 +66,8 @@
                            TimePoint aNow)
 {
   for (const LostTrait& lost : aTraits) {
-    Suspect* suspect = FindOrAdd(lost.trait, aNow);
-    if (suspect && suspect->crashes.size() < kMaxCrashesPerTrait &&
-        (!suspect->completedAt || lost.lostAt > *suspect->completedAt)) {
-      Crash& crash =
-        suspect->crashes.try_emplace(aIncarnation, Crash{ lost.lostAt, false })
-          .first->second;
-      crash.isRepeated = crash.isRepeated || lost.isRepeated;
+    if (Suspect* suspect = FindOrAdd(lost.trait, aNow)) {
+      AddCrash(*suspect, aIncarnation, { lost.lostAt, lost.isRepeated });
     }
   }
   Decide(aNow);
