--- a/include/hibiscusnotch/entry/fleet_report.hpp
+++ b/include/hibiscusnotch/entry/fleet_report.hpp
@@ -28,7 +28,7 @@
   std::string zone;   ///< The sender's zone.
   LoadTable load;
   RolloutReport rollouts; ///< Counts are rounded to hundredths.
-  std::vector<routing::TraitReport> crashes; ///< Ages are in milliseconds.
+  std::vector<routing::TraitReport> crashes; ///< Ages in whole milliseconds.
 };
 
 /// @brief Encodes the report as a CBOR array.
