Log the limits that upstreams state; no decision uses them yet

The log could not tell whether an instance knew of a limit. Placement is unchanged.

The router test's header codec moves to testing/, for a second test that uses it.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -62,6 +62,8 @@
   StoreRegained = 721,
   StoreRestored = 723,
   UpstreamCrashed = 724,
+  UpstreamLimit = 725,
+  UpstreamLimitUnreadable = 726,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -60,6 +60,9 @@
   bool leaving = false;       ///< The upstream announces that it is leaving.
   /// @brief How long the upstream wants no requests from this instance.
   std::optional<Duration> backoff;
+  /// @brief Requests per second that the upstream takes from all instances.
+  std::optional<double> requestLimit;
+  bool requestLimitUnreadable = false; ///< Stated, but not as a number.
   std::optional<routing::ReportedLoad> load;
   std::optional<int> confidence; ///< 0 to 100.
 };
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -48,6 +48,10 @@
   bool removed = false;          ///< Removed or replaced; gets no requests.
   bool announcedLeaving = false; ///< It announced that it is leaving.
   TimePoint backoffUntil{};      ///< It wants no requests before.
+  /// @brief Requests per second that it takes from all instances.
+  std::optional<double> requestLimit;
+  /// @brief When it stated the limit or its end; at the epoch if never.
+  TimePoint limitStatedAt{};
   TimePoint heldUntil{}; ///< Its entry may be one that a restore brought back.
   std::optional<TimePoint> lapsedAt; ///< Vanished in a store outage.
   TimePoint coldUntil{};
@@ -130,6 +134,12 @@
   /// @brief It asked for no requests until the time.
   void RecordBackoff(UpstreamId aId, TimePoint aUntil);
 
+  /// @brief It stated a limit in a response, or none any more. Statements older
+  /// than the last one are ignored. Returns true if the limit changed.
+  bool RecordRequestLimit(UpstreamId aId,
+                          std::optional<double> aPerSecond,
+                          TimePoint aStatedAt);
+
   /// @brief Prompt tokens not read yet, of this instance and its peers.
   static double PendingTokens(const Upstream& aUpstream, TimePoint aNow);
   /// @brief Estimated number of requests at the upstream, of all instances.
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -77,6 +77,10 @@
   EventDescription{ ObjectUnreadable, LogLevel::Error, "object_unreadable" },
   EventDescription{ StoreRestored, LogLevel::Warning, "store_restored" },
   EventDescription{ UpstreamCrashed, LogLevel::Warning, "upstream_crashed" },
+  EventDescription{ UpstreamLimit, LogLevel::Info, "upstream_limit" },
+  EventDescription{ UpstreamLimitUnreadable,
+                    LogLevel::Warning,
+                    "upstream_limit_unreadable" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -6,7 +6,9 @@
 #include "hibiscusnotch/routing/crash_attribution.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <cstdio>
 #include <map>
 #include <span>
 #include <unordered_map>
@@ -77,6 +79,14 @@
   return std::to_string(aDuration.count() / 1000);
 }
 
+std::string
+FormatRate(double aPerSecond)
+{
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3g", aPerSecond);
+  return text.data();
+}
+
 /// What the request may have in common with others that crash upstreams. The
 /// last part of a prompt belongs to the request alone.
 std::vector<routing::RequestTrait>
@@ -437,15 +447,18 @@
     }
     ++aExchange.sends;
     aExchange.tried.push_back(aUpstream);
-    log_.Write(EventNumber::AttemptSent,
-               Describe(aExchange) + " to=" + attempt.upstreamName +
-                 " software=" + attempt.softwareVersion + " session=" +
-                 aExchange.metadata.session + " model=" + attempt.model +
-                 " left_ms=" + FormatMilliseconds(metadata.timeLeft) +
-                 " own_load=" + std::to_string(upstream.inFlight) + " load=" +
-                 std::to_string(static_cast<int>(
-                   routing::UpstreamTable::Load(upstream, now))) +
-                 ConfigurationAge());
+    log_.Write(
+      EventNumber::AttemptSent,
+      Describe(aExchange) + " to=" + attempt.upstreamName +
+        " software=" + attempt.softwareVersion +
+        " session=" + aExchange.metadata.session + " model=" + attempt.model +
+        " left_ms=" + FormatMilliseconds(metadata.timeLeft) +
+        " own_load=" + std::to_string(upstream.inFlight) + " load=" +
+        std::to_string(
+          static_cast<int>(routing::UpstreamTable::Load(upstream, now))) +
+        (upstream.requestLimit ? " limit=" + FormatRate(*upstream.requestLimit)
+                               : "") +
+        ConfigurationAge());
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
@@ -545,6 +558,7 @@
       log_.Write(EventNumber::UpstreamLeaving,
                  "upstream=" + aAttempt.upstreamName);
     }
+    RecordRequestLimit(aAttempt, aNow);
     if (aAttempt.metadata.backoff) {
       fleet_.upstreams.RecordBackoff(aAttempt.upstream,
                                      aNow + *aAttempt.metadata.backoff);
@@ -554,6 +568,24 @@
     }
   }
 
+  void RecordRequestLimit(const Attempt& aAttempt, TimePoint aNow)
+  {
+    if (aAttempt.metadata.requestLimitUnreadable) {
+      log_.Write(EventNumber::UpstreamLimitUnreadable,
+                 "upstream=" + aAttempt.upstreamName);
+      return;
+    }
+    const auto& limit = aAttempt.metadata.requestLimit;
+    if (!limit && aAttempt.metadata.requestId.empty()) {
+      return; // not known to be the upstream's own response
+    }
+    if (fleet_.upstreams.RecordRequestLimit(aAttempt.upstream, limit, aNow)) {
+      log_.Write(EventNumber::UpstreamLimit,
+                 "upstream=" + aAttempt.upstreamName +
+                   " per_second=" + (limit ? FormatRate(*limit) : "none"));
+    }
+  }
+
   /// True for a success that is proven to be the upstream's response to this
   /// request.
   bool IsValidSuccess(const Exchange& aExchange, const Attempt& aAttempt) const
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -1,11 +1,11 @@
 #include "hibiscusnotch/entry/request_router.hpp"
 
+#include "hibiscusnotch/testing/fake_header_codec.hpp"
 #include "hibiscusnotch/testing/fake_listener.hpp"
 #include "hibiscusnotch/testing/fake_outbound_client.hpp"
 #include "hibiscusnotch/testing/manual_timers.hpp"
 
 #include <doctest/doctest.h>
-#include <sstream>
 
 using namespace hibiscusnotch::entry;
 using hibiscusnotch::core::UpstreamId;
@@ -14,6 +14,7 @@
 using hibiscusnotch::routing::Configuration;
 using hibiscusnotch::routing::ExecutionSemantics;
 using hibiscusnotch::routing::Route;
+using hibiscusnotch::testing::FakeHeaderCodec;
 using hibiscusnotch::testing::FakeListener;
 using hibiscusnotch::testing::FakeOutboundClient;
 using hibiscusnotch::testing::ManualTimers;
@@ -27,67 +28,6 @@
 
 constexpr Duration kSecond{ 1'000'000 };
 
-/// Uses short header names; the message lists the upstream and the metadata.
-class TestHeaderCodec : public HeaderCodec
-{
-public:
-  RequestMetadata ReadRequest(const net::HttpRequest& aRequest) const override
-  {
-    RequestMetadata metadata;
-    metadata.requestId = std::string(aRequest.Header("id"));
-    metadata.host = std::string(aRequest.Header("host"));
-    metadata.path = aRequest.target;
-    metadata.apiKey = std::string(aRequest.Header("key"));
-    std::istringstream parts{ std::string(aRequest.Header("parts")) };
-    for (std::string part; parts >> part;) {
-      metadata.promptSegments.push_back({ part, 100 });
-    }
-    if (!aRequest.Header("left").empty()) {
-      metadata.timeLeft =
-        Duration{ std::stoll(std::string(aRequest.Header("left"))) * 1000 };
-    }
-    return metadata;
-  }
-  std::string WriteUpstreamRequest(
-    const net::HttpRequest& /*aRequest*/,
-    const AttemptMetadata& aMetadata) const override
-  {
-    return aMetadata.upstream + " model=" + aMetadata.model +
-           " organisation=" + aMetadata.organisation +
-           " after=" + aMetadata.resumeAfter +
-           " left=" + std::to_string(aMetadata.timeLeft.count() / 1000);
-  }
-  ResponseMetadata ReadResponse(const ResponseHead& aHead) const override
-  {
-    ResponseMetadata metadata;
-    metadata.requestId = std::string(aHead.Header("id"));
-    metadata.sealed = !aHead.Header("seal").empty();
-    metadata.notExecuted = !aHead.Header("not-run").empty();
-    metadata.wrongUpstream = aHead.status == 421;
-    metadata.leaving = !aHead.Header("leaving").empty();
-    if (!aHead.Header("backoff").empty()) {
-      metadata.backoff =
-        Duration{ std::stoll(std::string(aHead.Header("backoff"))) * 1000 };
-    }
-    if (!aHead.Header("confidence").empty()) {
-      metadata.confidence = std::stoi(std::string(aHead.Header("confidence")));
-    }
-    return metadata;
-  }
-  net::Headers ResponseHeaders(const ResponseHead& aHead) const override
-  {
-    return aHead.headers;
-  }
-  net::Headers LocalReplyHeaders(const RequestMetadata& /*aMetadata*/,
-                                 Duration aRetryAfter) const override
-  {
-    if (aRetryAfter == Duration::zero()) {
-      return {};
-    }
-    return { { "retry", std::to_string(aRetryAfter.count()) } };
-  }
-};
-
 Route
 MakeRoute(const std::string& aName,
           ExecutionSemantics aSemantics,
@@ -110,7 +50,7 @@
   ManualTimers timers;
   FakeOutboundClient client;
   FakeListener listener;
-  TestHeaderCodec headerCodec;
+  FakeHeaderCodec headerCodec;
   FleetState fleet;
   EventLog log{ timers, { "test", 0, 0 } };
   std::unique_ptr<hibiscusnotch::observe::Metrics> metrics =
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hibiscusnotch::routing {
 
@@ -117,6 +118,20 @@
   }
 }
 
+bool
+UpstreamTable::RecordRequestLimit(UpstreamId aId,
+                                  std::optional<double> aPerSecond,
+                                  TimePoint aStatedAt)
+{
+  Upstream* upstream = Find(aId);
+  if (!upstream || aStatedAt < upstream->limitStatedAt ||
+      (!aPerSecond && !upstream->requestLimit)) {
+    return false;
+  }
+  upstream->limitStatedAt = aStatedAt;
+  return std::exchange(upstream->requestLimit, aPerSecond) != aPerSecond;
+}
+
 void
 UpstreamTable::Sweep(TimePoint aNow)
 {
