--- /dev/null
+++ b/src/hibiscusnotch/testing/router_fleet.hpp
@@ -0,0 +1,273 @@
+/// @file
+/// @brief Instances before shared upstreams, on one paused clock and without a
+/// network.
+#pragma once
+
+#include "hibiscusnotch/entry/request_router.hpp"
+#include "hibiscusnotch/testing/fake_header_codec.hpp"
+#include "hibiscusnotch/testing/fake_listener.hpp"
+#include "hibiscusnotch/testing/fake_outbound_client.hpp"
+#include "hibiscusnotch/testing/manual_timers.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hibiscusnotch::testing {
+
+struct RouterFleetOptions
+{
+  std::size_t instances = 8;
+  std::size_t upstreams = 12;
+  std::size_t zones = 3;
+  core::Duration serviceTime{ 200'000 };
+};
+
+/// @brief Runs requests through all instances; upstreams answer each after the
+/// service time.
+class RouterFleet
+{
+public:
+  static constexpr core::Duration kStep{ 10'000 };
+  /// Also the interval of the callbacks that pass reports on.
+  static constexpr core::Duration kReportPeriod{ 200'000 };
+
+  struct Upstream
+  {
+    std::string name;
+    std::string zone;
+    std::optional<double> limit; ///< Stated in its responses.
+    struct Arrival
+    {
+      core::TimePoint at;
+      std::size_t instance = 0;
+      bool told = false; ///< The instance got the limit half a second before.
+    };
+    std::vector<Arrival> arrivals;
+    std::map<std::size_t, core::TimePoint> toldAt; ///< By instance.
+  };
+
+  struct Instance
+  {
+    std::string name;
+    std::string zone;
+    FakeOutboundClient client;
+    FakeListener listener;
+    std::unique_ptr<entry::FleetState> fleet;
+    std::unique_ptr<entry::EventLog> log;
+    std::unique_ptr<observe::Metrics> metrics;
+    std::unique_ptr<entry::RequestRouter> router;
+    std::size_t handled = 0; ///< Of the client's sends.
+  };
+
+  explicit RouterFleet(const RouterFleetOptions& aOptions)
+    : instances(aOptions.instances)
+    , options_(aOptions)
+  {
+    for (std::size_t index = 0; index < options_.upstreams; ++index) {
+      Upstream upstream;
+      upstream.name = "u" + std::to_string(index);
+      upstream.zone = ZoneOf(index);
+      upstreams.push_back(upstream);
+    }
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+      instances[index].name = "i" + std::to_string(index);
+      instances[index].zone = ZoneOf(index);
+    }
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+      Start(index);
+    }
+  }
+
+  /// @brief Starts the instance's process anew, without any memory.
+  void Start(std::size_t aIndex)
+  {
+    Instance& instance = instances[aIndex];
+    instance.router.reset();
+    instance.fleet = std::make_unique<entry::FleetState>();
+    instance.handled = instance.client.sent.size();
+    for (const Instance& one : instances) {
+      instance.fleet->instances[one.name] = { {}, one.zone };
+    }
+    instance.fleet->instancesKnown = true;
+    instance.fleet->membership = 1;
+    routing::Configuration configuration;
+    configuration.version = 1;
+    for (const auto& [name, semantics] : {
+           std::pair("safe", routing::ExecutionSemantics::Idempotent),
+           std::pair("unsafe", routing::ExecutionSemantics::AtMostOnce),
+           std::pair("stream", routing::ExecutionSemantics::Stream),
+         }) {
+      routing::Route route;
+      route.name = name;
+      route.host = "h";
+      route.pathPrefix = std::string("/") + name + "/";
+      route.executionSemantics = semantics;
+      route.resumable = semantics == routing::ExecutionSemantics::Stream;
+      route.timeout = core::Duration{ 10'000'000 };
+      route.latencyTarget = core::Duration{ 4'000'000 };
+      route.maxAttempts = 3;
+      route.services = { { "app", 1 } };
+      configuration.routes.push_back(route);
+    }
+    configuration.BuildRouteIndex();
+    instance.fleet->configuration =
+      std::make_shared<routing::Configuration>(configuration);
+    instance.fleet->configurationConfirmedAt = timers.Now();
+    for (const Upstream& upstream : upstreams) {
+      routing::UpstreamEntry entry;
+      entry.name = upstream.name;
+      entry.endpoint = { upstream.name, 1 };
+      entry.service = "app";
+      entry.zone = upstream.zone;
+      entry.slots = 64;
+      instance.fleet->upstreams.Apply(entry, timers.Now());
+    }
+    instance.log = std::make_unique<entry::EventLog>(
+      timers, entry::EventLogOptions{ instance.name, 0, 0 });
+    instance.metrics = observe::MakeMetrics();
+    entry::RouterOptions routerOptions;
+    routerOptions.instanceName = instance.name;
+    routerOptions.zone = instance.zone;
+    routerOptions.retryBudget.minRetries = 56;
+    routerOptions.enforceKeyRevocation = false;
+    instance.router = entry::MakeRequestRouter(routerOptions,
+                                               { timers,
+                                                 instance.client,
+                                                 headerCodec_,
+                                                 *instance.fleet,
+                                                 *instance.log,
+                                                 *instance.metrics });
+    instance.router->SetListener(instance.listener);
+    for (Upstream& upstream : upstreams) {
+      upstream.toldAt.erase(aIndex);
+    }
+  }
+
+  /// @brief Takes the instance out of all instances' lists, or back in.
+  void SetMember(std::size_t aIndex, bool aPresent)
+  {
+    for (Instance& instance : instances) {
+      if (aPresent) {
+        instance.fleet->instances[instances[aIndex].name] = {
+          {}, instances[aIndex].zone
+        };
+      } else {
+        instance.fleet->instances.erase(instances[aIndex].name);
+      }
+      ++instance.fleet->membership;
+    }
+  }
+
+  relay::ExchangeId Request(std::size_t aInstance, const std::string& aRoute)
+  {
+    const relay::ExchangeId id = ++lastId_;
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/" + aRoute + "/x";
+    request.headers = { { "id", "r" + std::to_string(id) },
+                        { "host", "h" },
+                        { "left", "8000" } };
+    request.body = "b";
+    instances[aInstance].router->OnRequest(id, request);
+    return id;
+  }
+
+  /// @brief Advances the clock by one step and serves what was sent.
+  void Step()
+  {
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+      Instance& instance = instances[index];
+      for (; instance.handled < instance.client.sent.size();
+           ++instance.handled) {
+        Serve(index, instance.handled);
+      }
+    }
+    timers.Advance(kStep);
+    if (onReportPeriod && timers.Now() >= nextReport_) {
+      nextReport_ = timers.Now() + kReportPeriod;
+      onReportPeriod();
+    }
+  }
+
+  /// @brief The most requests that the upstream got within the window from
+  /// instances that knew its limit, after the time.
+  std::size_t MostFromToldWithin(const Upstream& aUpstream,
+                                 core::Duration aWindow,
+                                 core::TimePoint aAfter) const
+  {
+    std::deque<core::TimePoint> window;
+    std::size_t most = 0;
+    for (const Upstream::Arrival& arrival : aUpstream.arrivals) {
+      if (!arrival.told || arrival.at < aAfter) {
+        continue;
+      }
+      window.push_back(arrival.at);
+      while (arrival.at - window.front() > aWindow) {
+        window.pop_front();
+      }
+      most = std::max(most, window.size());
+    }
+    return most;
+  }
+
+  ManualTimers timers;
+  std::function<void()> onReportPeriod;
+  std::vector<Upstream> upstreams;
+  std::vector<Instance> instances;
+
+private:
+  std::string ZoneOf(std::size_t aIndex) const
+  {
+    return "z" + std::to_string(aIndex % options_.zones);
+  }
+
+  void Serve(std::size_t aInstance, std::size_t aSend)
+  {
+    constexpr core::Duration kToldDelay{ 500'000 };
+    Instance& instance = instances[aInstance];
+    const std::string& to = instance.client.sent[aSend].call.to.address;
+    const std::size_t index = std::stoul(to.substr(1));
+    Upstream& upstream = upstreams.at(index);
+    const auto told = upstream.toldAt.find(aInstance);
+    upstream.arrivals.push_back(
+      { timers.Now(),
+        aInstance,
+        told != upstream.toldAt.end() &&
+          timers.Now() - told->second >= kToldDelay });
+    const std::string& message = instance.client.sent[aSend].call.message;
+    const std::size_t idAt = message.find("id=");
+    const std::string id = message.substr(idAt + 3);
+    timers.After(options_.serviceTime, [this, aInstance, aSend, index, id] {
+      Instance& sender = instances[aInstance];
+      if (!sender.client.IsOpen(aSend)) {
+        return;
+      }
+      relay::ResponseHead head;
+      head.status = 200;
+      head.headers = { { "id", id }, { "seal", "s" } };
+      head.isSelfDelimited = true;
+      if (upstreams[index].limit) {
+        head.headers.emplace_back("limit",
+                                  std::to_string(*upstreams[index].limit));
+        upstreams[index].toldAt.try_emplace(aInstance, timers.Now());
+      }
+      sender.client.Head(aSend, head);
+      sender.client.Body(aSend, "id: 1\ndata: x\n\n");
+      sender.client.End(aSend, relay::CallOutcome::Complete);
+    });
+  }
+
+  RouterFleetOptions options_;
+  FakeHeaderCodec headerCodec_;
+  core::TimePoint nextReport_{};
+  relay::ExchangeId lastId_ = 0;
+};
+
+} // namespace hibiscusnotch::testing
