Keep an upstream's limit over all instances together

Cause: nothing read the limit, and every decision on how much an upstream gets is made by each instance for itself: a bound on the fleet that nobody divides.

Change: three instances (one for each two requests a second of a larger limit) divide a limit among themselves, chosen alike everywhere by the order that cold shares use: the upstream's zone first, then a hash. Each paces its share; the others pass the upstream over. A division by all instances would leave shares too small to use, and a first request of each would exceed a small limit by itself. The check is in IsEligible, which every send passes, and Send takes from the pacer. A new holder of a share starts without credit. Limits travel with the zone's reports and between zones, the newest statement counts; a response without it ends it, a new incarnation has none, zero leaves a trickle. If all upstreams of a service hold back, a request whose turn comes after its wait is refused at once as not run, with the time of its turn as Retry-After.

With the check in IsEligible taken out, each of seven send paths fails 'an upstream whose limit is used up gets nothing on any path', and three of the fleet tests fail.

--- a/include/hibiscusnotch/core/verdict.hpp
+++ b/include/hibiscusnotch/core/verdict.hpp
@@ -51,6 +51,7 @@
   UpstreamBackoff, ///< The upstream asked for no requests for a while.
   ExposureLimit,   ///< Only an unproven version could serve it.
   UpstreamFailed,
+  RequestLimit, ///< The upstreams' limits on all instances are used up.
 };
 
 /// @brief The response to a request that gets no upstream's answer.
--- a/include/hibiscusnotch/entry/event_log.hpp
+++ b/include/hibiscusnotch/entry/event_log.hpp
@@ -21,6 +21,10 @@
 std::string
 FormatHash(uint64_t aHash);
 
+/// @brief A rate per second with three digits, for details of events.
+std::string
+FormatRate(double aPerSecond);
+
 class EventLog
 {
 public:
--- a/include/hibiscusnotch/entry/fleet_report.hpp
+++ b/include/hibiscusnotch/entry/fleet_report.hpp
@@ -29,9 +29,12 @@
   LoadTable load;
   RolloutReport rollouts; ///< Counts are rounded to hundredths.
   std::vector<routing::TraitReport> crashes; ///< Ages in whole milliseconds.
+  std::vector<LimitReport> limits; ///< Rounded to thousandths, milliseconds.
 };
 
-/// @brief Encodes the report as a CBOR array.
+/// @brief Encodes the report as a CBOR array. Limits that would make it larger
+/// than one packet are left out: an instance also learns them from the upstream
+/// itself.
 std::string
 EncodeFleetReport(const FleetReport& aReport);
 
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -9,6 +9,7 @@
 #include "hibiscusnotch/routing/rollout.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,9 +55,48 @@
 };
 
 /// @brief The instances that may send to a zone's upstreams.
-std::vector<routing::ColdStartSender>
+std::vector<routing::Sender>
 SendersTo(const FleetState& aFleet, std::string_view aZone);
 
+/// @brief Divides the limits that upstreams have stated among the instances
+/// and sets this instance's send rates.
+void
+ShareRequestLimits(std::string_view aSelf, FleetState& aFleet, TimePoint aNow);
+
+/// @brief A limit that an upstream has stated, as instances tell each other.
+struct LimitReport
+{
+  uint32_t incarnation = 0; ///< Its hash.
+  /// @brief Requests per second; nothing if the limit has ended.
+  std::optional<double> perSecond;
+  Duration age{ 0 }; ///< Since the upstream stated it.
+};
+
+/// @brief Identifies a process of an upstream, alike on all instances.
+uint32_t
+IncarnationHash(const routing::UpstreamEntry& aEntry);
+
+/// @brief The limits that were stated lately, the newest first.
+/// @param aSources Those from which the reported limits are known.
+std::vector<LimitReport>
+LimitReports(const FleetState& aFleet,
+             std::initializer_list<routing::LimitSource> aSources,
+             TimePoint aNow);
+
+/// @brief Applies what other instances know of limits; the newest statement
+/// counts.
+void
+MergeLimits(const std::vector<LimitReport>& aReports,
+            FleetState& aFleet,
+            EventLog& aLog,
+            TimePoint aNow);
+
+/// @brief Logs that an upstream's limit changed.
+void
+LogLimit(const routing::Upstream& aUpstream,
+         std::string_view aSource,
+         EventLog& aLog);
+
 /// @brief The instance that may try a quarantined trait.
 bool
 OwnsTrials(const FleetState& aFleet, std::string_view aSelf, uint64_t aTrait);
--- a/include/hibiscusnotch/entry/peer_exchange.hpp
+++ b/include/hibiscusnotch/entry/peer_exchange.hpp
@@ -28,12 +28,12 @@
   Duration aggregatorTimeout{ 1'500'000 };
 };
 
-/// @brief Reports this instance's load, evidence on unfinished roll-outs and
-/// crashes of upstreams to the zone's aggregator, which replies with the totals
-/// of the others. Aggregators exchange the evidence of their zones.
+/// @brief Reports this instance's load, evidence on unfinished roll-outs,
+/// crashes of upstreams and their limits to the zone's aggregator, which
+/// replies with the totals of the others. Aggregators exchange what their zones
+/// know, except the load.
 ///
-/// A peer's report can only make an instance more cautious, so a lost datagram
-/// delays a reaction but never causes a wrong one.
+/// A lost datagram delays a reaction but never causes a wrong one.
 class PeerExchange
 {
 public:
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -45,11 +45,18 @@
            const Upstream& aUpstream,
            core::Reason& aLastReason);
 
-/// @brief When the first of the upstreams ends its backoff, if each upstream of
-/// the service and version is in backoff or takes no requests at all.
-std::optional<TimePoint>
-EndOfBackoff(const PlacementContext& aContext,
-             const PlacementRequest& aRequest);
+/// @brief When upstreams that hold back requests take them again.
+struct Opening
+{
+  TimePoint at; ///< Of the first; the latest time if never from this instance.
+  double perSecond = 0; ///< Requests that they then take from this instance.
+  core::Reason reason = core::Reason::None; ///< Why the first holds back.
+};
+
+/// @brief The next opening if each upstream of the service and version is in
+/// backoff, keeps its limit, or takes no requests at all.
+std::optional<Opening>
+NextOpening(const PlacementContext& aContext, const PlacementRequest& aRequest);
 
 /// @brief The eligible upstream of the lowest expected cost; sets the reason if
 /// there is none.
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/core/ids.hpp"
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/core/time.hpp"
+#include "hibiscusnotch/routing/request_limit.hpp"
 
 #include <deque>
 #include <functional>
@@ -41,6 +42,13 @@
   uint32_t slots = 0;
 };
 
+/// @brief From whom this instance knows a limit.
+enum class LimitSource
+{
+  Response, ///< Of the upstream, to this instance.
+  Peer,
+};
+
 /// @brief An upstream's entry and its observed state.
 struct Upstream
 {
@@ -52,6 +60,8 @@
   std::optional<double> requestLimit;
   /// @brief When it stated the limit or its end; at the epoch if never.
   TimePoint limitStatedAt{};
+  LimitSource limitSource = LimitSource::Response;
+  SendPacer pacer;       ///< Of this instance's share of the limit.
   TimePoint heldUntil{}; ///< Its entry may be one that a restore brought back.
   std::optional<TimePoint> lapsedAt; ///< Vanished in a store outage.
   TimePoint coldUntil{};
@@ -138,7 +148,13 @@
   /// than the last one are ignored. Returns true if the limit changed.
   bool RecordRequestLimit(UpstreamId aId,
                           std::optional<double> aPerSecond,
-                          TimePoint aStatedAt);
+                          TimePoint aStatedAt,
+                          LimitSource aSource = LimitSource::Response);
+  /// @brief Rises with each change of a limit.
+  uint64_t LimitChanges() const { return limitChanges_; }
+  /// @brief Sets this instance's share of the upstream's limit, in requests per
+  /// second.
+  void SetSendRate(UpstreamId aId, double aPerSecond, TimePoint aNow);
 
   /// @brief Prompt tokens not read yet, of this instance and its peers.
   static double PendingTokens(const Upstream& aUpstream, TimePoint aNow);
@@ -162,6 +178,7 @@
   std::optional<TimePoint> restoredAt_;
   std::map<std::string, UpstreamId, std::less<>> byName_;
   uint32_t nextId_ = 0;
+  uint64_t limitChanges_ = 0;
 };
 
 } // namespace hibiscusnotch::routing
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -68,10 +68,6 @@
   const double rate =
     kBurstMargin * (service->coldRequestsPerSecond * options_.coldRateFactor +
                     options_.coldRateSlack);
-  if (sharesMembership_ != fleet_.membership) {
-    sharesMembership_ = fleet_.membership;
-    coldStartShares_.clear();
-  }
   const auto [share, isNew] =
     coldStartShares_.try_emplace({ aUpstream.entry.name, rate }, 0);
   if (isNew) {
@@ -151,9 +147,25 @@
   return plan;
 }
 
+void
+AttemptPlanner::RefreshShares() const
+{
+  const bool membersChanged = sharesMembership_ != fleet_.membership;
+  const uint64_t limitChanges = fleet_.upstreams.LimitChanges();
+  if (membersChanged) {
+    sharesMembership_ = fleet_.membership;
+    coldStartShares_.clear();
+  }
+  if (membersChanged || limitChanges != sharesLimitChanges_) {
+    sharesLimitChanges_ = limitChanges;
+    ShareRequestLimits(options_.instanceName, fleet_, timers_.Now());
+  }
+}
+
 routing::PlacementContext
 AttemptPlanner::Context() const
 {
+  RefreshShares();
   return { fleet_.upstreams,
            fleet_.evacuatedZones,
            options_.zone,
@@ -188,13 +200,13 @@
   return chosen;
 }
 
-std::optional<TimePoint>
-AttemptPlanner::EndOfBackoff(const Exchange& aExchange,
-                             std::size_t aModelIndex) const
+std::optional<routing::Opening>
+AttemptPlanner::NextOpening(const Exchange& aExchange,
+                            std::size_t aModelIndex) const
 {
   const auto plan = MakePlan(aExchange, aModelIndex);
   plan->request.requiredVersion = {};
-  return routing::EndOfBackoff(Context(), plan->request);
+  return routing::NextOpening(Context(), plan->request);
 }
 
 std::string
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -32,9 +32,9 @@
     std::size_t aModelIndex,
     core::Reason& aLastReason) const;
 
-  /// @brief As routing::EndOfBackoff, for one of the route's models.
-  std::optional<TimePoint> EndOfBackoff(const Exchange& aExchange,
-                                        std::size_t aModelIndex) const;
+  /// @brief As routing::NextOpening, for one of the route's models.
+  std::optional<routing::Opening> NextOpening(const Exchange& aExchange,
+                                              std::size_t aModelIndex) const;
 
   /// @brief Running and waiting requests per slot of the service's upstreams in
   /// this zone, whose load is known best; of all its upstreams if the zone has
@@ -58,6 +58,8 @@
   std::unique_ptr<Plan> MakePlan(const Exchange& aExchange,
                                  std::size_t aModelIndex) const;
   routing::PlacementContext Context() const;
+  /// Recomputes shares after changes of the instances or of a limit.
+  void RefreshShares() const;
   double ColdStartRateLimit(const routing::Upstream& aUpstream) const;
 
   const RouterOptions& options_;
@@ -66,6 +68,7 @@
   /// Shares by the upstream's name and rate, of the current membership.
   mutable std::map<std::pair<std::string, double>, double> coldStartShares_;
   mutable uint64_t sharesMembership_ = 0;
+  mutable uint64_t sharesLimitChanges_ = 0;
 };
 
 /// @brief The route's model of that index, or the caller's.
--- a/src/hibiscusnotch/entry/event_log.cpp
+++ b/src/hibiscusnotch/entry/event_log.cpp
@@ -17,6 +17,14 @@
   return digits.data();
 }
 
+std::string
+FormatRate(double aPerSecond)
+{
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3g", aPerSecond);
+  return text.data();
+}
+
 EventLog::EventLog(relay::Timers& aTimers, EventLogOptions aOptions)
   : timers_(aTimers)
   , options_(std::move(aOptions))
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -13,6 +13,11 @@
 using nlohmann::json;
 
 constexpr std::size_t kCrashesField = 7;
+constexpr std::size_t kLimitsField = 8;
+constexpr double kRateScale = 1000; // per request a second
+constexpr std::size_t kMaxPacketBytes = 1400;
+constexpr std::size_t kMaxLimitBytes = 15; // of one limit's three numbers
+constexpr int64_t kNoLimit = -1;
 constexpr double kCountScale = 100;      // per answer
 constexpr double kShareScale = 1e6;      // for the share of all sessions
 constexpr uint32_t kTokensPerUnit = 256; // placement needs no finer unit
@@ -144,6 +149,37 @@
   return reports;
 }
 
+/// A flat array with three numbers per upstream: incarnation, rate, age.
+json
+EncodeLimits(std::span<const LimitReport> aReports)
+{
+  json numbers = json::array();
+  for (const LimitReport& report : aReports) {
+    numbers.push_back(report.incarnation);
+    numbers.push_back(report.perSecond
+                        ? std::llround(*report.perSecond * kRateScale)
+                        : kNoLimit);
+    numbers.push_back(EncodeAge(report.age));
+  }
+  return numbers;
+}
+
+std::vector<LimitReport>
+DecodeLimits(const json& aNumbers)
+{
+  std::vector<LimitReport> reports;
+  for (std::size_t at = 0; at < aNumbers.size(); at += 3) {
+    LimitReport& report = reports.emplace_back();
+    report.incarnation = aNumbers.at(at).get<uint32_t>();
+    const auto rate = aNumbers.at(at + 1).get<int64_t>();
+    if (rate >= 0) {
+      report.perSecond = static_cast<double>(rate) / kRateScale;
+    }
+    report.age = DecodeAge(aNumbers.at(at + 2));
+  }
+  return reports;
+}
+
 ReportKind
 DecodeKind(const json& aKind)
 {
@@ -166,16 +202,27 @@
     loads.push_back(load.requests);
     loads.push_back((load.promptTokens + kTokensPerUnit - 1) / kTokensPerUnit);
   }
+  json message = json::array({ static_cast<uint8_t>(aReport.kind),
+                               aReport.sender,
+                               aReport.zone,
+                               loads,
+                               EncodeEvidence(aReport.rollouts.evidence),
+                               aReport.rollouts.pinnedSessions,
+                               json::array(), // read by former builds
+                               EncodeCrashes(aReport.crashes),
+                               json::array() });
   std::string bytes;
-  json::to_cbor(json::array({ static_cast<uint8_t>(aReport.kind),
-                              aReport.sender,
-                              aReport.zone,
-                              loads,
-                              EncodeEvidence(aReport.rollouts.evidence),
-                              aReport.rollouts.pinnedSessions,
-                              json::array(), // read by former builds
-                              EncodeCrashes(aReport.crashes) }),
-                bytes);
+  json::to_cbor(message, bytes);
+  const std::size_t room =
+    bytes.size() < kMaxPacketBytes ? kMaxPacketBytes - bytes.size() : 0;
+  const std::size_t count =
+    std::min(aReport.limits.size(), room / kMaxLimitBytes);
+  if (count > 0) {
+    message[kLimitsField] =
+      EncodeLimits(std::span(aReport.limits).first(count));
+    bytes.clear();
+    json::to_cbor(message, bytes);
+  }
   return bytes;
 }
 
@@ -195,6 +242,9 @@
     if (message.size() > kCrashesField) { // former builds do not send it
       report.crashes = DecodeCrashes(message.at(kCrashesField));
     }
+    if (message.size() > kLimitsField) {
+      report.limits = DecodeLimits(message.at(kLimitsField));
+    }
     return report;
   } catch (const json::exception& aError) {
     aLastReason = aError.what();
--- a/src/hibiscusnotch/entry/fleet_report_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_report_test.cpp
@@ -41,6 +41,8 @@
                        std::nullopt,
                        { { 5, { Duration{ 1'500'000 } } },
                          { 0xfedcba98, { Duration{ 2'000 } } } } } };
+  report.limits = { { 0xfedcba98, 1.3, Duration{ 250'000 } },
+                    { 9, std::nullopt, Duration{ 0 } } };
   return report;
 }
 
@@ -59,6 +61,11 @@
   CHECK(read->load.at(7).promptTokens >= 300);
   CHECK(read->load.at(7).promptTokens < 600);
   CHECK(read->load.at(8).promptTokens == 0);
+  REQUIRE(read->limits.size() == 2);
+  CHECK(read->limits[0].incarnation == 0xfedcba98);
+  CHECK(read->limits[0].perSecond == doctest::Approx(1.3));
+  CHECK(read->limits[0].age == Duration{ 250'000 });
+  CHECK_FALSE(read->limits[1].perSecond); // it has ended
   REQUIRE(read->crashes.size() == 2);
   CHECK(read->crashes[0].trait.hash == 0xfedcba9876543210);
   CHECK(read->crashes[0].trait.specificity == 2);
@@ -119,22 +126,27 @@
   CHECK(EncodeFleetReport(report).size() < kDatagramBytes / 2);
 }
 
-TEST_CASE("reports of the former build are read, without crashes")
+TEST_CASE("reports of former builds are read, without crashes and limits")
 {
   // Guards against a fleet that is deaf while builds are mixed.
   std::string reason;
   FleetReport former = MakeReport();
   former.crashes.clear();
+  former.limits.clear();
   std::string bytes = EncodeFleetReport(former);
-  // An array of eight elements, the last one empty, becomes one of seven.
-  REQUIRE(static_cast<unsigned char>(bytes.front()) == 0x88);
-  REQUIRE(static_cast<unsigned char>(bytes.back()) == 0x80);
-  bytes.front() = static_cast<char>(0x87);
-  bytes.pop_back();
-  const auto read = DecodeFleetReport(bytes, reason);
-  REQUIRE(read);
-  CHECK(read->crashes.empty());
-  CHECK(read->load.at(7).requests == 2);
+  // An array of nine elements, the last two empty, becomes one of eight, then
+  // one of seven.
+  for (const unsigned elements : { 9U, 8U }) {
+    REQUIRE(static_cast<unsigned char>(bytes.front()) == 0x80 + elements);
+    REQUIRE(static_cast<unsigned char>(bytes.back()) == 0x80);
+    bytes.front() = static_cast<char>(0x80 + elements - 1);
+    bytes.pop_back();
+    const auto read = DecodeFleetReport(bytes, reason);
+    REQUIRE(read);
+    CHECK(read->crashes.empty());
+    CHECK(read->limits.empty());
+    CHECK(read->load.at(7).requests == 2);
+  }
 }
 
 TEST_CASE("reports in a zone of 75 instances fit the control traffic budget")
@@ -152,6 +164,10 @@
   for (uint32_t session = 0; session < 60; ++session) {
     pinned.insert(session * 100'000'000U);
   }
+  std::vector<LimitReport> limits;
+  for (uint32_t upstream = 0; upstream < 16; ++upstream) {
+    limits.push_back({ upstream * 80'000'000U, 1.25, Duration{ 1'000'000 } });
+  }
   constexpr double kControlBytesPerSecond = 3000; // per instance
   constexpr double kReportPeriodSeconds = 0.6;    // with 120 upstreams
   const std::string memberReport =
@@ -160,13 +176,15 @@
                         "macon",
                         load,
                         { evidence, pinned },
-                        {} });
+                        {},
+                        limits });
   const std::string localReport = EncodeFleetReport({ ReportKind::Local,
                                                       "front-macon-100",
                                                       "macon",
                                                       { { 1, { 1, 9000 } } },
                                                       {},
-                                                      {} });
+                                                      {},
+                                                      { limits.front() } });
   // The rest of the budget is for mirrors.
   CHECK(memberReport.size() / kReportPeriodSeconds <
         kControlBytesPerSecond * 0.85);
--- a/src/hibiscusnotch/entry/peer_exchange.cpp
+++ b/src/hibiscusnotch/entry/peer_exchange.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 using boost::asio::ip::udp;
+using routing::LimitSource;
 
 constexpr std::size_t kMaxDatagram = 8 * 1024;
 constexpr std::ptrdiff_t kUpstreamsPerPeriod = 60; // 0.6 KB of totals
@@ -70,7 +71,14 @@
              options_.zone,
              LocalLoad(fleet_),
              LocalRolloutReport(fleet_, aNow),
-             fleet_.crashEvidence.Report(aNow) };
+             fleet_.crashEvidence.Report(aNow),
+             LimitReports(fleet_, { LimitSource::Response }, aNow) };
+  }
+
+  std::vector<LimitReport> KnownLimits(TimePoint aNow) const
+  {
+    return LimitReports(
+      fleet_, { LimitSource::Response, LimitSource::Peer }, aNow);
   }
 
   void SetLocalReport(TimePoint aNow)
@@ -92,7 +100,8 @@
       aNow);
     lastTotalAt_ = aNow;
     const auto crashes = fleet_.crashEvidence.Report(aNow);
-    if (!fleet_.rollouts.AnyUnfinished() && crashes.empty()) {
+    const auto limits = KnownLimits(aNow);
+    if (!fleet_.rollouts.AnyUnfinished() && crashes.empty() && limits.empty()) {
       return; // load is not exchanged between zones
     }
     const std::string message =
@@ -101,7 +110,8 @@
                           options_.zone,
                           {},
                           rolloutAggregator_.TotalOfMembers(aNow),
-                          crashes });
+                          crashes,
+                          limits });
     for (const std::string& peer : RemoteAggregators()) {
       SendTo(fleet_.instances[peer].endpoint, message);
     }
@@ -141,6 +151,7 @@
     const TimePoint now = timers_.Now();
     fleet_.crashEvidence.Merge(aReport.crashes, now);
     LogQuarantineChanges(fleet_.crashEvidence, log_);
+    MergeLimits(aReport.limits, fleet_, log_, now);
     switch (aReport.kind) {
       case ReportKind::Local:
         loadAggregator_.SetReport(aReport.sender, aReport.load, now);
@@ -170,7 +181,8 @@
                           options_.zone,
                           loadAggregator_.TotalExcluding(aMember, aNow),
                           rolloutAggregator_.TotalExcluding(aMember, aNow),
-                          fleet_.crashEvidence.Report(aNow) });
+                          fleet_.crashEvidence.Report(aNow),
+                          KnownLimits(aNow) });
     boost::system::error_code error;
     // A lost report is superseded by the next one.
     socket_.send_to(boost::asio::buffer(totals), aEndpoint, 0, error);
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -6,9 +6,7 @@
 #include "hibiscusnotch/routing/crash_attribution.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <cstdio>
 #include <map>
 #include <span>
 #include <unordered_map>
@@ -79,14 +77,6 @@
   return std::to_string(aDuration.count() / 1000);
 }
 
-std::string
-FormatRate(double aPerSecond)
-{
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.3g", aPerSecond);
-  return text.data();
-}
-
 /// What the request may have in common with others that crash upstreams. The
 /// last part of a prompt belongs to the request alone.
 std::vector<routing::RequestTrait>
@@ -120,14 +110,6 @@
   return text;
 }
 
-/// Identifies a process of an upstream, alike on all instances.
-uint32_t
-IncarnationHash(const routing::UpstreamEntry& aEntry)
-{
-  return static_cast<uint32_t>(core::MixHash(
-    core::StableHash(aEntry.name), static_cast<uint64_t>(aEntry.incarnation)));
-}
-
 std::string_view
 ReasonPhrase(int aStatus)
 {
@@ -389,17 +371,20 @@
   void WaitForUpstream(Exchange& aExchange, Reason aReason)
   {
     const TimePoint now = timers_.Now();
-    const auto backoffEnd =
-      planner_.EndOfBackoff(aExchange, aExchange.modelIndex);
-    if (backoffEnd && *backoffEnd > aExchange.waitDeadline) {
-      GiveUp(aExchange, Reason::UpstreamBackoff, *backoffEnd - now);
-      return;
+    if (const auto opening =
+          planner_.NextOpening(aExchange, aExchange.modelIndex)) {
+      const auto turn = TurnAt(aExchange, *opening);
+      if (!turn || *turn > aExchange.waitDeadline) {
+        GiveUp(
+          aExchange, opening->reason, turn ? *turn - now : kRetryAfterBusy);
+        return;
+      }
     }
     if (now >= aExchange.waitDeadline || aReason == Reason::ExposureLimit) {
       GiveUp(aExchange, aReason);
       return;
     }
-    if (aReason == Reason::NoUpstream) {
+    if (aReason == Reason::NoUpstream || aReason == Reason::RequestLimit) {
       aExchange.tried.clear(); // upstreams that refused may accept it later
     }
     const ExchangeId id = aExchange.id;
@@ -412,6 +397,26 @@
     });
   }
 
+  /// When the request's turn comes after those that have waited longer for the
+  /// same opening; nothing if this instance gets none.
+  std::optional<TimePoint> TurnAt(const Exchange& aExchange,
+                                  const routing::Opening& aOpening) const
+  {
+    if (aOpening.at == TimePoint::max()) {
+      return std::nullopt;
+    }
+    const std::string service = planner_.ChooseService(aExchange);
+    const auto ahead =
+      std::ranges::count_if(exchanges_, [&](const auto& aEntry) {
+        const Exchange& other = aEntry.second;
+        return other.waitTimer != 0 && other.id != aExchange.id &&
+               other.arrivedAt <= aExchange.arrivedAt &&
+               planner_.ChooseService(other) == service;
+      });
+    return std::max(aOpening.at, timers_.Now()) +
+           core::FromSeconds(static_cast<double>(ahead) / aOpening.perSecond);
+  }
+
   void Send(Exchange& aExchange, UpstreamId aUpstream)
   {
     const TimePoint now = timers_.Now();
@@ -580,9 +585,7 @@
       return; // not known to be the upstream's own response
     }
     if (fleet_.upstreams.RecordRequestLimit(aAttempt.upstream, limit, aNow)) {
-      log_.Write(EventNumber::UpstreamLimit,
-                 "upstream=" + aAttempt.upstreamName +
-                   " per_second=" + (limit ? FormatRate(*limit) : "none"));
+      LogLimit(*fleet_.upstreams.Find(aAttempt.upstream), "response", log_);
     }
   }
 
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -919,6 +919,86 @@
   CHECK(used); // the pause is over
 }
 
+// Guards against a path beside the gate that keeps an upstream's limit: first
+// sends, retries after refusals, lost and slow attempts, resumed streams,
+// larger models and what has waited.
+TEST_CASE("an upstream whose limit is used up gets nothing on any path")
+{
+  Fixture fixture;
+  // No other upstream is as idle, so the limited one would be the next choice.
+  const auto limited = *fixture.fleet.upstreams.FindByName("u1");
+  for (const char* name : { "u2", "u3", "u4" }) {
+    fixture.fleet.upstreams.RecordSend(
+      *fixture.fleet.upstreams.FindByName(name), 0, fixture.timers.Now());
+  }
+  fixture.fleet.upstreams.RecordRequestLimit(
+    limited, 0.2, fixture.timers.Now());
+  fixture.Request("unsafe"); // its share starts now
+  fixture.timers.Advance(6 * kSecond);
+  fixture.Apply(); // the API keys are fresh again
+  fixture.fleet.upstreams.RecordSend(limited, 0, fixture.timers.Now());
+  fixture.fleet.upstreams.RecordEnd(limited);
+  const std::size_t before = fixture.client.sent.size();
+  SUBCASE("first sends")
+  {
+    for (const char* route : { "safe", "unsafe", "stream", "sized" }) {
+      fixture.Request(route);
+    }
+    CHECK(fixture.client.sent.size() == before + 4);
+  }
+  SUBCASE("retries after a lost or unsent attempt")
+  {
+    for (const CallOutcome end :
+         { CallOutcome::ConnectionLost, CallOutcome::NotSent }) {
+      fixture.Request("safe");
+      fixture.client.End(fixture.client.sent.size() - 1, end);
+    }
+    CHECK(fixture.client.sent.size() == before + 4);
+  }
+  SUBCASE("retries after a refusal")
+  {
+    fixture.Request("unsafe");
+    fixture.Reply(before, 503, { { "not-run", "1" } });
+    CHECK(fixture.client.sent.size() == before + 2);
+  }
+  SUBCASE("retries of slow attempts")
+  {
+    fixture.Request("safe");
+    fixture.timers.Advance(kSecond + kSecond / 10);
+    CHECK(fixture.client.sent.size() == before + 2);
+  }
+  SUBCASE("resumed streams")
+  {
+    fixture.Request("stream");
+    fixture.client.Head(before, fixture.Head(200));
+    fixture.client.Body(before, "id: 1\ndata: x\n\n");
+    fixture.client.End(before, CallOutcome::ConnectionLost);
+    CHECK(fixture.client.sent.size() == before + 2);
+  }
+  SUBCASE("larger models")
+  {
+    fixture.Request("sized");
+    fixture.client.Head(before, fixture.Head(200, { { "confidence", "1" } }));
+    CHECK(fixture.client.sent.size() == before + 2);
+  }
+  SUBCASE("what has waited")
+  {
+    for (const auto& [id, upstream] : fixture.fleet.upstreams.Rows()) {
+      if (id != limited) {
+        fixture.fleet.upstreams.RecordBackoff(
+          id, fixture.timers.Now() + kSecond / 10);
+      }
+    }
+    fixture.Request("unsafe");
+    CHECK(fixture.client.sent.size() == before);
+    fixture.timers.Advance(kSecond / 5);
+    CHECK(fixture.client.sent.size() == before + 1);
+  }
+  for (std::size_t send = before; send < fixture.client.sent.size(); ++send) {
+    CHECK(fixture.Message(send).substr(0, 2) != "u1");
+  }
+}
+
 TEST_CASE("if all upstreams want a pause, the caller is told when to return")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/routing/cold_start_share_test.cpp
+++ b/src/hibiscusnotch/routing/cold_start_share_test.cpp
@@ -14,7 +14,7 @@
       for (std::size_t index = 0; index < count; ++index) {
         names.push_back("instance-" + std::to_string(index));
       }
-      std::vector<ColdStartSender> senders;
+      std::vector<Sender> senders;
       for (std::size_t index = 0; index < count; ++index) {
         senders.push_back({ names[index], index % 3 == 0 });
       }
@@ -32,7 +32,7 @@
 
 TEST_CASE("a low rate is shared by instances of the upstream's zone")
 {
-  const std::vector<ColdStartSender> senders{
+  const std::vector<Sender> senders{
     { "a", false }, { "b", true }, { "c", false }, { "d", true }
   };
   CHECK(ColdStartShare(2, "u", "b", senders) == 1);
@@ -43,6 +43,6 @@
 
 TEST_CASE("an instance that is not registered yet has no share")
 {
-  const std::vector<ColdStartSender> senders{ { "a", true }, { "b", true } };
+  const std::vector<Sender> senders{ { "a", true }, { "b", true } };
   CHECK(ColdStartShare(10, "u", "c", senders) == 0);
 }
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -3,6 +3,7 @@
 #include "hibiscusnotch/core/rendezvous.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -218,6 +219,10 @@
     aLastReason = core::Reason::UpstreamBackoff;
     return false;
   }
+  if (aUpstream.requestLimit && !aUpstream.pacer.IsOpen(aContext.now)) {
+    aLastReason = core::Reason::RequestLimit;
+    return false;
+  }
   if (aContext.evacuatedZones.contains(aUpstream.entry.zone)) {
     aLastReason = core::Reason::ZoneOut;
     return false;
@@ -236,10 +241,10 @@
   return true;
 }
 
-std::optional<TimePoint>
-EndOfBackoff(const PlacementContext& aContext, const PlacementRequest& aRequest)
+std::optional<Opening>
+NextOpening(const PlacementContext& aContext, const PlacementRequest& aRequest)
 {
-  std::optional<TimePoint> soonest;
+  std::optional<Opening> next;
   for (const auto& [id, upstream] : aContext.upstreams.Rows()) {
     if (upstream.entry.service != aRequest.service ||
         !SatisfiesVersionConstraint(upstream.entry.softwareVersion, aRequest)) {
@@ -249,14 +254,25 @@
     if (IsEligible(aContext, upstream, reason)) {
       return std::nullopt;
     }
-    if (reason == core::Reason::UpstreamBackoff) {
-      soonest = std::min(soonest.value_or(upstream.backoffUntil),
-                         upstream.backoffUntil);
-    } else if (reason == core::Reason::ColdStartLimit) {
+    if (reason == core::Reason::ColdStartLimit) {
       return std::nullopt; // takes requests again within a second
     }
+    const bool limited = reason == core::Reason::RequestLimit;
+    if (!limited && reason != core::Reason::UpstreamBackoff) {
+      continue;
+    }
+    const TimePoint at =
+      limited ? upstream.pacer.OpensAt() : upstream.backoffUntil;
+    if (!next) {
+      next = Opening{ at, 0, reason };
+    } else if (at < next->at) {
+      next->at = at;
+      next->reason = reason;
+    }
+    next->perSecond +=
+      limited ? upstream.pacer.Rate() : std::numeric_limits<double>::infinity();
   }
-  return soonest;
+  return next;
 }
 
 std::optional<UpstreamId>
--- a/src/hibiscusnotch/routing/placement_test.cpp
+++ b/src/hibiscusnotch/routing/placement_test.cpp
@@ -253,16 +253,17 @@
 TEST_CASE("the end of the backoffs is known if nothing else can serve")
 {
   Fixture fixture;
-  const auto end = [&fixture] {
+  const auto end = [&fixture]() -> std::optional<TimePoint> {
     PlacementRequest request = ForPrompt("p", 0);
     request.service = "engine";
-    return EndOfBackoff(
+    const auto opening = NextOpening(
       { fixture.table,
         fixture.evacuatedZones,
         "east",
         [&fixture](const Upstream&) { return fixture.coldRateLimit; },
         kNow },
       request);
+    return opening ? std::optional(opening->at) : std::nullopt;
   };
   CHECK_FALSE(end()); // no upstream at all
   fixture.table.RecordBackoff(fixture.Add("a"), kNow + 3 * kSecond);
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -121,7 +121,8 @@
 bool
 UpstreamTable::RecordRequestLimit(UpstreamId aId,
                                   std::optional<double> aPerSecond,
-                                  TimePoint aStatedAt)
+                                  TimePoint aStatedAt,
+                                  LimitSource aSource)
 {
   Upstream* upstream = Find(aId);
   if (!upstream || aStatedAt < upstream->limitStatedAt ||
@@ -129,7 +130,19 @@
     return false;
   }
   upstream->limitStatedAt = aStatedAt;
-  return std::exchange(upstream->requestLimit, aPerSecond) != aPerSecond;
+  upstream->limitSource = aSource;
+  const bool changed =
+    std::exchange(upstream->requestLimit, aPerSecond) != aPerSecond;
+  limitChanges_ += changed ? 1 : 0;
+  return changed;
+}
+
+void
+UpstreamTable::SetSendRate(UpstreamId aId, double aPerSecond, TimePoint aNow)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->pacer.SetRate(aPerSecond, aNow);
+  }
 }
 
 void
@@ -181,6 +194,9 @@
   if (Upstream* upstream = Find(aId)) {
     ++upstream->inFlight;
     upstream->pendingTokens += aPromptTokens;
+    if (upstream->requestLimit) {
+      upstream->pacer.RecordSend(aNow);
+    }
     while (!upstream->recentSends.empty() &&
            aNow - upstream->recentSends.front() > Duration{ 1'000'000 }) {
       upstream->recentSends.pop_front();
