--- a/src/hibiscusnotch/testing/router_fleet.hpp
+++ b/src/hibiscusnotch/testing/router_fleet.hpp
@@ -29,6 +29,14 @@
   core::Duration serviceTime{ 200'000 };
 };
 
+/// @brief What an instance that is cut off from all upstreams sees.
+enum class CutKind
+{
+  Hang,   ///< New connections time out.
+  Refuse, ///< New connections are refused.
+  Reset,  ///< Connections are reset once the request is on its way.
+};
+
 /// @brief Runs requests through all instances; upstreams answer each after the
 /// service time.
 class RouterFleet
@@ -218,6 +226,7 @@
   }
 
   ManualTimers timers;
+  std::map<std::size_t, CutKind> cutOff; ///< From all upstreams, by instance.
   std::function<void()> onReportPeriod;
   std::vector<Upstream> upstreams;
   std::vector<Instance> instances;
@@ -233,6 +242,10 @@
     constexpr core::Duration kToldDelay{ 500'000 };
     Instance& instance = instances[aInstance];
     const std::string& to = instance.client.sent[aSend].call.to.address;
+    if (const auto cut = cutOff.find(aInstance); cut != cutOff.end()) {
+      ServeBehindCut(aInstance, aSend, cut->second);
+      return;
+    }
     const std::size_t index = std::stoul(to.substr(1));
     Upstream& upstream = upstreams.at(index);
     const auto told = upstream.toldAt.find(aInstance);
@@ -264,6 +277,20 @@
     });
   }
 
+  void ServeBehindCut(std::size_t aInstance, std::size_t aSend, CutKind aKind)
+  {
+    const bool hangs = aKind == CutKind::Hang;
+    const auto end = aKind == CutKind::Reset
+                       ? relay::CallOutcome::ConnectionLost
+                       : relay::CallOutcome::NotSent;
+    const core::Duration delay =
+      hangs ? instances[aInstance].client.sent[aSend].call.connectTimeout
+            : core::Duration{ 1'000 };
+    timers.After(delay, [this, aInstance, aSend, end] {
+      instances[aInstance].client.End(aSend, end);
+    });
+  }
+
   RouterFleetOptions options_;
   FakeHeaderCodec headerCodec_;
   core::TimePoint nextReport_{};
