--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -64,6 +64,9 @@
   UpstreamCrashed = 724,
   UpstreamLimit = 725,
   UpstreamLimitUnreadable = 726,
+  UplinksLost = 727,
+  UplinksRegained = 728,
+  RequestForwarded = 729,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/core/verdict.hpp
+++ b/include/hibiscusnotch/core/verdict.hpp
@@ -51,6 +51,7 @@
   UpstreamBackoff, ///< The upstream asked for no requests for a while.
   ExposureLimit,   ///< Only an unproven version could serve it.
   UpstreamFailed,
+  NoReach,      ///< Neither upstreams nor instances that reach them.
   RequestLimit, ///< The upstreams' limits on all instances are used up.
 };
 
--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -25,7 +25,9 @@
     readinessEndpoint; ///< For the load balancer's readiness checks.
   std::string readinessPath = "/ready";
   core::Endpoint metricsEndpoint;
-  core::Endpoint peerEndpoint; ///< UDP for reports, TCP for mirrors.
+  /// @brief UDP for reports, TCP for mirrors; the next port takes requests of
+  /// instances that reach no upstream.
+  core::Endpoint peerEndpoint;
   /// @brief Instances whose mirrors are read until the fleet is known. Some may
   /// be down. If this instance is one of them, it reads the store.
   std::vector<core::Endpoint> seeds;
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -27,6 +27,11 @@
 struct InstanceInfo
 {
   core::Endpoint endpoint; ///< UDP for reports, TCP for mirrors.
+  /// @brief TCP for requests of instances that reach no upstream.
+  core::Endpoint ForwardEndpoint() const
+  {
+    return { endpoint.address, static_cast<uint16_t>(endpoint.port + 1) };
+  }
   std::string zone;
   /// @brief Thousandths of a processor core that its machine gives it.
   uint32_t capacity = 0;
--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -37,6 +37,8 @@
   std::vector<PromptSegment> promptSegments; ///< In prompt order.
   std::string resumeAfter; ///< Id of the last event that the caller received.
   std::string session;
+  /// @brief Executions at upstreams before another instance forwarded it.
+  uint32_t forwardedExecutions = 0;
 };
 
 /// @brief Metadata that an attempt adds for the upstream.
@@ -50,6 +52,14 @@
   int priority = 0;        ///< Zero is the most urgent.
 };
 
+/// @brief Metadata that an instance adds to a request that it forwards.
+struct ForwardMetadata
+{
+  Duration timeLeft{ 0 };
+  std::string resumeAfter; ///< In place of the caller's; may be empty.
+  uint32_t executions = 0; ///< So far; they count among the route's attempts.
+};
+
 /// @brief Metadata of an upstream's response.
 struct ResponseMetadata
 {
@@ -79,6 +89,11 @@
   virtual std::string WriteUpstreamRequest(
     const net::HttpRequest& aRequest,
     const AttemptMetadata& aMetadata) const = 0;
+  /// @brief The complete message for an instance that sends the request to an
+  /// upstream in this one's place.
+  virtual std::string WriteForwardedRequest(
+    const net::HttpRequest& aRequest,
+    const ForwardMetadata& aMetadata) const = 0;
   virtual ResponseMetadata ReadResponse(
     const relay::ResponseHead& aHead) const = 0;
   /// @brief The headers of an upstream's response that go to the caller.
--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -43,16 +43,28 @@
   observe::Metrics& metrics;
 };
 
+/// @brief Who sent a request.
+enum class RequestOrigin
+{
+  Caller,
+  Instance, ///< One that reaches no upstream itself; it is not forwarded again.
+};
+
 class RequestRouter
 {
 public:
   virtual ~RequestRouter() = default;
 
-  /// @brief Sets where responses go; call before the first request.
-  virtual void SetListener(relay::Listener& aListener) = 0;
-  virtual void OnRequest(relay::ExchangeId aId, net::HttpRequest aRequest) = 0;
-  virtual void OnClientDisconnected(relay::ExchangeId aId) = 0;
-  virtual void OnWritten(relay::ExchangeId aId) = 0;
+  /// @brief Sets where responses to requests of the origin go; call before the
+  /// first one.
+  virtual void SetListener(RequestOrigin aOrigin,
+                           relay::Listener& aListener) = 0;
+  virtual void OnRequest(RequestOrigin aOrigin,
+                         relay::ExchangeId aId,
+                         net::HttpRequest aRequest) = 0;
+  virtual void OnClientDisconnected(RequestOrigin aOrigin,
+                                    relay::ExchangeId aId) = 0;
+  virtual void OnWritten(RequestOrigin aOrigin, relay::ExchangeId aId) = 0;
   virtual std::size_t OpenRequestCount() const = 0;
   /// @brief Refuses all further requests, as the process is about to end.
   virtual void RefuseNewRequests() = 0;
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -65,6 +65,7 @@
   TimePoint heldUntil{}; ///< Its entry may be one that a restore brought back.
   std::optional<TimePoint> lapsedAt; ///< Vanished in a store outage.
   TimePoint coldUntil{};
+  TimePoint announcedColdUntil{}; ///< By its entry; coldUntil may be later.
   TimePoint suspectUntil{};
   uint32_t consecutiveFailures = 0;
   uint32_t inFlight = 0;    ///< Requests sent by this instance.
@@ -138,6 +139,8 @@
   /// @brief The upstream could not be connected to.
   void RecordUnreachable(UpstreamId aId, Duration aColdStart, TimePoint aNow);
   void RecordReachable(UpstreamId aId);
+  /// @brief Ends all suspicions: this instance's own links were the cause.
+  void ForgiveFailures();
   /// @brief It announced that it is leaving; until its next incarnation it gets
   /// no new requests, whatever its entry says.
   void RecordLeaving(UpstreamId aId, TimePoint aNow);
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -81,6 +81,9 @@
   EventDescription{ UpstreamLimitUnreadable,
                     LogLevel::Warning,
                     "upstream_limit_unreadable" },
+  EventDescription{ UplinksLost, LogLevel::Error, "uplinks_lost" },
+  EventDescription{ UplinksRegained, LogLevel::Info, "uplinks_regained" },
+  EventDescription{ RequestForwarded, LogLevel::Info, "request_forwarded" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/core/verdict.cpp
+++ b/src/hibiscusnotch/core/verdict.cpp
@@ -80,6 +80,8 @@
       return "exposure_limit";
     case Reason::AttemptsUsedUp:
       return "attempts_used_up";
+    case Reason::NoReach:
+      return "no_reach";
     case Reason::RequestLimit:
       return "request_limit";
     case Reason::UpstreamFailed:
--- a/src/hibiscusnotch/entry/cut_off_test.cpp
+++ b/src/hibiscusnotch/entry/cut_off_test.cpp
@@ -122,3 +122,261 @@
     CHECK(cutOff.all - cutOff.served <= 10 + cutOff.all / 50);
   }
 }
+
+namespace {
+
+/// Instance 0 of three is cut off and knows it; its next request is forwarded.
+struct ForwardFixture
+{
+  RouterFleet fleet{ { 3, 6, 1 } };
+  RouterFleet::Instance& cutOff = fleet.instances[0];
+
+  ForwardFixture()
+  {
+    fleet.cutOff[0] = CutKind::Hang;
+    for (int request = 0; request < 3; ++request) {
+      fleet.Request(0, "safe");
+    }
+    Idle(fleet, 2 * kSecond);
+    REQUIRE(fleet.timers.Now() > core::TimePoint{});
+  }
+
+  /// The index of the forwarded call that the request made.
+  std::size_t Forward(const std::string& aRoute)
+  {
+    id = fleet.Request(0, aRoute);
+    const std::size_t call = cutOff.client.sent.size() - 1;
+    REQUIRE(cutOff.client.sent[call].call.to.address.front() == 'i');
+    cutOff.handled = cutOff.client.sent.size(); // answered by the test
+    return call;
+  }
+
+  void Reply(std::size_t aCall, int aStatus, net::Headers aHeaders)
+  {
+    relay::ResponseHead head;
+    head.status = aStatus;
+    head.headers = std::move(aHeaders);
+    head.isSelfDelimited = true;
+    cutOff.client.Head(aCall, head);
+    cutOff.client.Body(aCall, "answer");
+    cutOff.client.End(aCall, relay::CallOutcome::Complete);
+  }
+
+  const hibiscusnotch::testing::RecordedResponse& Response()
+  {
+    return cutOff.listener.answers[id];
+  }
+
+  std::string OwnId() const { return "r" + std::to_string(id); }
+
+  relay::ExchangeId id = 0;
+};
+
+bool
+Contains(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a request that wanders between instances without links.
+TEST_CASE("a forwarded request is not forwarded again")
+{
+  ForwardFixture fixture;
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/unsafe/x";
+  request.headers = { { "id", "r" }, { "host", "h" }, { "left", "8000" } };
+  const std::size_t before = fixture.cutOff.client.sent.size();
+  fixture.cutOff.router->OnRequest(entry::RequestOrigin::Instance, 99, request);
+  const auto& answer = fixture.cutOff.forwardListener.answers[99];
+  CHECK(answer.status == 503);
+  CHECK(Contains(answer.body, "not_run"));
+  CHECK(fixture.cutOff.client.sent.size() == before);
+}
+
+// Guards against callers that wait for a deadline if nobody reaches upstreams.
+TEST_CASE("with all instances cut off a request is refused soon as not run")
+{
+  RouterFleet fleet({ 3, 6, 1 });
+  for (std::size_t index = 0; index < 3; ++index) {
+    fleet.cutOff[index] = CutKind::Hang;
+    fleet.Request(index, "safe");
+  }
+  Idle(fleet, 2 * kSecond);
+  const auto id = fleet.Request(0, "unsafe");
+  Idle(fleet, kSecond / 10);
+  const auto& answer = fleet.instances[0].listener.answers[id];
+  CHECK(answer.status == 503);
+  CHECK(Contains(answer.body, "no_reach"));
+  CHECK(!answer.Header("retry").empty());
+}
+
+// Guards against an at-most-once request that runs twice, or a false "not run",
+// because the hop hides what became of it.
+TEST_CASE("the hop keeps at-most-once and tells the truth about execution")
+{
+  SUBCASE("refused by the other instance: another one is tried")
+  {
+    ForwardFixture fixture;
+    const std::size_t call = fixture.Forward("unsafe");
+    fixture.Reply(call, 503, { { "id", fixture.OwnId() } });
+    REQUIRE(fixture.cutOff.client.sent.size() == call + 2);
+    CHECK(fixture.cutOff.client.sent[call + 1].call.to.address !=
+          fixture.cutOff.client.sent[call].call.to.address);
+    fixture.Reply(call + 1, 503, { { "id", fixture.OwnId() } });
+    CHECK(fixture.Response().status == 503);
+    CHECK(Contains(fixture.Response().body, "not_run"));
+  }
+  SUBCASE("broken on the hop: it may have run")
+  {
+    ForwardFixture fixture;
+    const std::size_t call = fixture.Forward("unsafe");
+    fixture.cutOff.client.End(call, relay::CallOutcome::ConnectionLost);
+    CHECK(fixture.cutOff.client.sent.size() == call + 1);
+    CHECK(fixture.Response().status == 502);
+    CHECK(Contains(fixture.Response().body, "may_have_run"));
+  }
+  SUBCASE("the other instance says that it may have run")
+  {
+    for (const int status : { 502, 504 }) {
+      ForwardFixture fixture;
+      const std::size_t call = fixture.Forward("unsafe");
+      fixture.Reply(call, status, { { "id", fixture.OwnId() } });
+      CHECK(fixture.cutOff.client.sent.size() == call + 1);
+      CHECK(fixture.Response().status == 502);
+    }
+  }
+  SUBCASE("not reached: another one is tried")
+  {
+    ForwardFixture fixture;
+    const std::size_t call = fixture.Forward("unsafe");
+    fixture.cutOff.client.End(call, relay::CallOutcome::NotSent);
+    CHECK(fixture.cutOff.client.sent.size() == call + 2);
+  }
+}
+
+// Guards against answers that the hop changes.
+TEST_CASE("an upstream's answer passes the hop unchanged")
+{
+  for (const int status : { 200, 404, 500 }) {
+    ForwardFixture fixture;
+    const std::size_t call = fixture.Forward("unsafe");
+    fixture.Reply(
+      call, status, { { "id", fixture.OwnId() }, { "seal", "s7" } });
+    CHECK(fixture.Response().status == status);
+    CHECK(fixture.Response().Header("seal") == "s7");
+    CHECK(fixture.Response().body == "answer");
+    CHECK(fixture.cutOff.client.sent.size() == call + 1);
+  }
+}
+
+// Guards against streams that lose or repeat events, or start anew, when they
+// change over to the hop.
+TEST_CASE("a stream goes on through another instance after its last event")
+{
+  ForwardFixture fixture;
+  const std::size_t call = fixture.Forward("stream");
+  relay::ResponseHead head;
+  head.status = 200;
+  head.headers = { { "id", fixture.OwnId() }, { "seal", "s" } };
+  head.isSelfDelimited = true;
+  fixture.cutOff.client.Head(call, head);
+  fixture.cutOff.client.Body(call, "id: 1\ndata: x\n\nid: 2\nda");
+  fixture.cutOff.client.End(call, relay::CallOutcome::ConnectionLost);
+  REQUIRE(fixture.cutOff.client.sent.size() == call + 2);
+  CHECK(Contains(fixture.cutOff.client.sent[call + 1].call.message, "after=1"));
+  CHECK(Contains(fixture.cutOff.client.sent[call + 1].call.message,
+                 "executions=1"));
+  fixture.cutOff.client.Head(call + 1, head);
+  fixture.cutOff.client.Body(call + 1, "id: 2\ndata: y\n\n");
+  fixture.cutOff.client.End(call + 1, relay::CallOutcome::Complete);
+  CHECK(fixture.Response().finished);
+  CHECK(fixture.Response().body == "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+}
+
+// Guards against work for callers that have left, and against upstreams that
+// get more time than is left.
+TEST_CASE("cancellation and deadline hold across the hop")
+{
+  ForwardFixture fixture;
+  const std::size_t call = fixture.Forward("safe");
+  CHECK(Contains(fixture.cutOff.client.sent[call].call.message, "left=7960"));
+  fixture.cutOff.router->OnClientDisconnected(entry::RequestOrigin::Caller,
+                                              fixture.id);
+  CHECK_FALSE(fixture.cutOff.client.IsOpen(call));
+}
+
+// Guards against an instance that is swamped by others' callers.
+TEST_CASE("an instance takes a bounded number of forwarded requests")
+{
+  RouterFleet fleet({ 1, 6, 1 });
+  auto& instance = fleet.instances[0];
+  std::size_t refused = 0;
+  for (relay::ExchangeId id = 1; id <= 200; ++id) {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/unsafe/x";
+    request.headers = { { "id", "f" + std::to_string(id) },
+                        { "host", "h" },
+                        { "left", "8000" } };
+    instance.router->OnRequest(entry::RequestOrigin::Instance, id, request);
+    refused += instance.forwardListener.answers[id].status == 503 ? 1 : 0;
+  }
+  CHECK(refused == 200 - 64);
+  const auto own = fleet.Request(0, "unsafe");
+  Idle(fleet, kSecond);
+  CHECK(instance.listener.answers[own].status == 200);
+}
+
+// Guards against a fleet that takes one upstream's failure for a cut, and
+// against one that stays with the hop after the cut.
+TEST_CASE(
+  "one failing upstream is no cut, and after a cut requests go directly")
+{
+  RouterFleet fleet({ 3, 6, 1 });
+  const auto forwards = [&fleet] {
+    return std::ranges::count_if(
+      fleet.instances[0].client.sent,
+      [](const auto& aSent) { return aSent.call.to.address.front() == 'i'; });
+  };
+  fleet.instances[0].client.probeResult = [&](const core::Endpoint& aTo) {
+    return aTo.address == "u0" || fleet.cutOff.contains(0)
+             ? relay::Reachability::Unreachable
+             : relay::Reachability::Accepts;
+  };
+  for (int request = 0; request < 5; ++request) {
+    fleet.Request(0, "safe");
+    auto& client = fleet.instances[0].client;
+    const std::size_t call = client.sent.size() - 1;
+    client.End(call, relay::CallOutcome::NotSent);
+    Idle(fleet, kSecond / 10);
+  }
+  CHECK(forwards() == 0);
+  fleet.cutOff[0] = CutKind::Refuse;
+  RunLoad(fleet, 30, 2 * kSecond);
+  CHECK(forwards() > 0);
+  fleet.cutOff.clear();
+  RunLoad(fleet, 30, kSecond);
+  const auto before = forwards();
+  const auto sent = RunLoad(fleet, 30, 2 * kSecond);
+  Idle(fleet, kSecond);
+  CHECK(forwards() == before);
+  const ServedCount served = CountServed(fleet, sent, false);
+  CHECK(served.served == served.all);
+}
+
+// Guards against upstreams that are avoided after a cut that was not theirs.
+TEST_CASE("a cut leaves no upstream suspected or cold")
+{
+  RouterFleet fleet({ 3, 12, 1 });
+  fleet.cutOff[0] = CutKind::Hang;
+  RunLoad(fleet, 30, 3 * kSecond);
+  const auto& table = fleet.instances[0].fleet->upstreams;
+  for (const auto& [id, upstream] : table.Rows()) {
+    CHECK(upstream.suspectUntil <= fleet.timers.Now());
+    CHECK(upstream.consecutiveFailures == 0);
+    CHECK(upstream.coldUntil <= fleet.timers.Now());
+  }
+}
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -84,7 +84,13 @@
         relay::MakeListener(aContext,
                             *timers_,
                             ListenerOptionsFor(options_.callerEndpoint),
-                            CallerObserver()))
+                            RequestObserver(RequestOrigin::Caller)))
+    , forwardListener_(relay::MakeListener(
+        aContext,
+        *timers_,
+        ListenerOptionsFor(
+          InstanceInfo{ options_.peerEndpoint, {}, 0 }.ForwardEndpoint()),
+        RequestObserver(RequestOrigin::Instance)))
     , readinessListener_(
         relay::MakeListener(aContext,
                             *timers_,
@@ -122,7 +128,8 @@
         { *store_, *timers_, aDependencies.storeCodec, fleet_, log_ }))
   {
     fleet_.rollouts = routing::Rollouts(options_.rollouts);
-    router_->SetListener(*callerListener_);
+    router_->SetListener(RequestOrigin::Caller, *callerListener_);
+    router_->SetListener(RequestOrigin::Instance, *forwardListener_);
     log_.Write(EventNumber::InstanceStarted,
                "zone=" + options_.router.zone +
                  " callers=" + options_.callerEndpoint.address + ':' +
@@ -155,15 +162,17 @@
   }
 
 private:
-  relay::ListenerObserver CallerObserver()
+  relay::ListenerObserver RequestObserver(RequestOrigin aOrigin)
   {
-    return { [this](relay::ExchangeId aId, net::HttpRequest aRequest) {
-              router_->OnRequest(aId, std::move(aRequest));
+    return { [this, aOrigin](relay::ExchangeId aId, net::HttpRequest aRequest) {
+              router_->OnRequest(aOrigin, aId, std::move(aRequest));
             },
-             [this](relay::ExchangeId aId) {
-               router_->OnClientDisconnected(aId);
+             [this, aOrigin](relay::ExchangeId aId) {
+               router_->OnClientDisconnected(aOrigin, aId);
              },
-             [this](relay::ExchangeId aId) { router_->OnWritten(aId); } };
+             [this, aOrigin](relay::ExchangeId aId) {
+               router_->OnWritten(aOrigin, aId);
+             } };
   }
 
   store::MirroredStoreObserver StoreObserver()
@@ -253,6 +262,7 @@
     options.headerTimeout = limits.headerTimeout;
     options.idleTimeout = limits.idleTimeout;
     callerListener_->SetOptions(options);
+    forwardListener_->SetOptions(options);
   }
 
   void WaitUntilDrained(const std::function<void()>& aDone)
@@ -301,6 +311,7 @@
   EventLog log_;
   std::unique_ptr<RequestRouter> router_;
   std::unique_ptr<relay::Listener> callerListener_;
+  std::unique_ptr<relay::Listener> forwardListener_;
   std::unique_ptr<relay::Listener> readinessListener_;
   std::unique_ptr<relay::Listener> metricsListener_;
   std::unique_ptr<store::MirrorServer> mirrors_;
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -3,24 +3,36 @@
 #pragma once
 
 #include "hibiscusnotch/entry/header_codec.hpp"
+#include "hibiscusnotch/entry/request_router.hpp"
 #include "hibiscusnotch/relay/event_splitter.hpp"
 #include "hibiscusnotch/relay/listener.hpp"
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
 
+#include <compare>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace hibiscusnotch::entry {
 
-/// @brief One attempt at one upstream.
+/// @brief A request of either listener; their ids overlap.
+struct ExchangeKey
+{
+  RequestOrigin origin = RequestOrigin::Caller;
+  relay::ExchangeId id = 0;
+
+  auto operator<=>(const ExchangeKey&) const = default;
+};
+
+/// @brief One attempt at one upstream, or through another instance.
 struct Attempt
 {
   relay::CallId call = 0;
-  core::UpstreamId upstream;
+  core::UpstreamId upstream; ///< Invalid if another instance chooses it.
   std::string upstreamName;
+  std::string peer; ///< The instance that it goes through; empty if none.
   std::string service;
   std::string softwareVersion;
   std::string model;
@@ -44,7 +56,7 @@
 
 struct Exchange
 {
-  relay::ExchangeId id = 0;
+  ExchangeKey key;
   net::HttpRequest request;
   RequestMetadata metadata;
   routing::Route route; ///< Copied when last matched.
@@ -63,6 +75,7 @@
   bool paused = false;
   std::size_t modelIndex = 0; ///< Index into the route's models.
   std::vector<core::UpstreamId> tried;
+  std::vector<std::string> triedPeers; ///< Instances that it went through.
   std::optional<Attempt> attempt;
   std::optional<FallbackResponse> fallbackResponse;
   relay::EventSplitter events;
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -2,14 +2,15 @@
 
 #include "attempt_planner.hpp"
 #include "exchange.hpp"
+#include "forward_planner.hpp"
 #include "hibiscusnotch/core/rendezvous.hpp"
+#include "hibiscusnotch/entry/uplink_guard.hpp"
 #include "hibiscusnotch/routing/crash_attribution.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <map>
 #include <span>
-#include <unordered_map>
 
 namespace hibiscusnotch::entry {
 
@@ -19,7 +20,6 @@
 using core::Reason;
 using core::UpstreamId;
 using relay::CallOutcome;
-using relay::ExchangeId;
 using routing::ExecutionSemantics;
 
 constexpr int kUnauthorized = 401;
@@ -64,6 +64,11 @@
 // Bytes of one response that may wait for a slow caller; above it, the
 // upstream is paused.
 constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+// Of other instances' callers, so that this instance's own are not starved.
+constexpr std::size_t kMaxForwardedRequests = 64;
+// Instances that a request goes to before it is given up.
+constexpr std::size_t kMaxForwards = 4;
+constexpr Duration kForwardConnectTimeout{ 100'000 }; // many round trips
 // Fraction of the retry budget that escalations may use.
 constexpr double kEscalationBudgetShare = 0.85;
 // Fraction that retries of slow attempts may use.
@@ -139,33 +144,46 @@
     , log_(aDependencies.log)
     , metrics_(aDependencies.metrics)
     , planner_(options_, fleet_, timers_)
+    , guard_(timers_, client_, fleet_, log_)
+    , forwards_(options_.instanceName, options_.zone, fleet_)
   {
   }
 
-  void SetListener(relay::Listener& aListener) override
+  void SetListener(RequestOrigin aOrigin, relay::Listener& aListener) override
   {
-    listener_ = &aListener;
+    listeners_[aOrigin] = &aListener;
   }
 
-  void OnRequest(ExchangeId aId, net::HttpRequest aRequest) override
+  void OnRequest(RequestOrigin aOrigin,
+                 relay::ExchangeId aId,
+                 net::HttpRequest aRequest) override
   {
-    Exchange& exchange = exchanges_[aId];
-    exchange.id = aId;
+    const ExchangeKey key{ aOrigin, aId };
+    const bool isFull = aOrigin == RequestOrigin::Instance &&
+                        ForwardedCount() >= kMaxForwardedRequests;
+    Exchange& exchange = exchanges_[key];
+    exchange.key = key;
     exchange.request = std::move(aRequest);
     exchange.metadata = headerCodec_.ReadRequest(exchange.request);
     exchange.arrivedAt = timers_.Now();
     exchange.traits = TraitsOf(exchange.request, exchange.metadata);
-    if (shuttingDown_) {
-      Refuse(
-        exchange, kUnavailable, Reason::ShuttingDown, kRetryAfterElsewhere);
+    if (aOrigin == RequestOrigin::Instance) {
+      exchange.executions = exchange.metadata.forwardedExecutions;
+    }
+    if (shuttingDown_ || isFull) {
+      Refuse(exchange,
+             kUnavailable,
+             isFull ? Reason::CapacityLimit : Reason::ShuttingDown,
+             kRetryAfterElsewhere);
       return;
     }
     StartRequest(exchange);
   }
 
-  void OnClientDisconnected(ExchangeId aId) override
+  void OnClientDisconnected(RequestOrigin aOrigin,
+                            relay::ExchangeId aId) override
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find({ aOrigin, aId });
     if (found == exchanges_.end()) {
       return;
     }
@@ -173,9 +191,9 @@
     Remove(found->second);
   }
 
-  void OnWritten(ExchangeId aId) override
+  void OnWritten(RequestOrigin aOrigin, relay::ExchangeId aId) override
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find({ aOrigin, aId });
     if (found != exchanges_.end() && found->second.paused &&
         found->second.attempt) {
       found->second.paused = false;
@@ -194,19 +212,24 @@
   }
 
 private:
+  relay::Listener& ListenerOf(const ExchangeKey& aKey) const
+  {
+    return *listeners_.at(aKey.origin);
+  }
+
   /// Admits and dispatches a new request.
   void StartRequest(Exchange& aExchange)
   {
     if (!Admit(aExchange)) {
       return;
     }
-    const ExchangeId id = aExchange.id;
+    const ExchangeKey key = aExchange.key;
     const Duration latencyTarget = aExchange.route.latencyTarget;
     aExchange.waitDeadline =
       timers_.Now() + std::min(latencyTarget / kWaitDivisor, kMaxWait);
     aExchange.modelIndex = routing::FirstModel(aExchange.route.models.size());
     aExchange.deadlineTimer =
-      timers_.At(aExchange.deadline, [this, id] { OnDeadline(id); });
+      timers_.At(aExchange.deadline, [this, key] { OnDeadline(key); });
     Dispatch(aExchange);
   }
 
@@ -273,9 +296,9 @@
       Refuse(aExchange, kUnavailable, Reason::NoConfiguration, kRetryAfterBusy);
       return;
     }
-    const ExchangeId id = aExchange.id;
-    aExchange.waitTimer = timers_.After(kWaitPollInterval, [this, id] {
-      const auto found = exchanges_.find(id);
+    const ExchangeKey key = aExchange.key;
+    aExchange.waitTimer = timers_.After(kWaitPollInterval, [this, key] {
+      const auto found = exchanges_.find(key);
       if (found != exchanges_.end()) {
         found->second.waitTimer = 0;
         StartRequest(found->second);
@@ -334,6 +357,10 @@
       GiveUp(aExchange, Reason::Quarantined, kRetryAfterQuarantine);
       return;
     }
+    if (guard_.IsCutOff()) {
+      Forward(aExchange);
+      return;
+    }
     Reason reason = Reason::NoUpstream;
     const auto chosen =
       planner_.ChooseUpstream(aExchange, aExchange.modelIndex, reason);
@@ -387,9 +414,9 @@
     if (aReason == Reason::NoUpstream || aReason == Reason::RequestLimit) {
       aExchange.tried.clear(); // upstreams that refused may accept it later
     }
-    const ExchangeId id = aExchange.id;
-    aExchange.waitTimer = timers_.After(kWaitPollInterval, [this, id] {
-      const auto found = exchanges_.find(id);
+    const ExchangeKey key = aExchange.key;
+    aExchange.waitTimer = timers_.After(kWaitPollInterval, [this, key] {
+      const auto found = exchanges_.find(key);
       if (found != exchanges_.end()) {
         found->second.waitTimer = 0;
         Dispatch(found->second);
@@ -397,6 +424,75 @@
     });
   }
 
+  std::size_t ForwardedCount() const
+  {
+    return static_cast<std::size_t>(
+      std::distance(exchanges_.lower_bound({ RequestOrigin::Instance, 0 }),
+                    exchanges_.end()));
+  }
+
+  /// Sends the request through an instance that reaches upstreams.
+  void Forward(Exchange& aExchange)
+  {
+    const TimePoint now = timers_.Now();
+    const bool mayForward = aExchange.key.origin == RequestOrigin::Caller &&
+                            aExchange.triedPeers.size() < kMaxForwards &&
+                            aExchange.deadline - now >= kMinRemainingTime;
+    const auto peer = mayForward
+                        ? forwards_.ChoosePeer(aExchange.triedPeers, now)
+                        : std::nullopt;
+    if (!peer) {
+      GiveUp(aExchange, Reason::NoReach);
+      return;
+    }
+    aExchange.triedPeers.push_back(*peer);
+    Attempt attempt;
+    attempt.peer = *peer;
+    attempt.upstreamName = "via:" + *peer;
+    attempt.service = planner_.ChooseService(aExchange);
+    attempt.sentAt = now;
+    attempt.resumed = aExchange.responseStarted;
+    attempt.eventsBefore = aExchange.events.EventCount();
+    ForwardMetadata metadata;
+    // Without the margin, so that the other instance's final response is in
+    // time.
+    metadata.timeLeft = aExchange.deadline - now;
+    metadata.executions = aExchange.executions;
+    if (aExchange.responseStarted) {
+      metadata.resumeAfter = aExchange.events.LastId();
+    }
+    relay::OutboundCall call;
+    call.to = fleet_.instances.at(*peer).ForwardEndpoint();
+    call.message =
+      headerCodec_.WriteForwardedRequest(aExchange.request, metadata);
+    call.bodyless = aExchange.request.method == "HEAD";
+    call.connectTimeout = kForwardConnectTimeout;
+    call.probeAfterSilence = SilenceLimit(aExchange);
+    log_.Write(EventNumber::RequestForwarded,
+               Describe(aExchange) + " to=" + *peer +
+                 " forwards=" + std::to_string(aExchange.triedPeers.size()));
+    StartCall(aExchange, std::move(attempt), std::move(call));
+  }
+
+  void StartCall(Exchange& aExchange,
+                 Attempt aAttempt,
+                 relay::OutboundCall aCall)
+  {
+    const ExchangeKey key = aExchange.key;
+    relay::CallObserver observer;
+    observer.onHead = [this, key](const relay::ResponseHead& aHead) {
+      OnHead(key, aHead);
+    };
+    observer.onBody = [this, key](std::string_view aBytes) {
+      OnBody(key, aBytes);
+    };
+    observer.onEnd = [this, key](CallOutcome aOutcome, std::string_view aWhy) {
+      OnAttemptEnd(key, aOutcome, aWhy);
+    };
+    aAttempt.call = client_.Start(std::move(aCall), std::move(observer));
+    aExchange.attempt = std::move(aAttempt);
+  }
+
   /// When the request's turn comes after those that have waited longer for the
   /// same opening; nothing if this instance gets none.
   std::optional<TimePoint> TurnAt(const Exchange& aExchange,
@@ -409,7 +505,7 @@
     const auto ahead =
       std::ranges::count_if(exchanges_, [&](const auto& aEntry) {
         const Exchange& other = aEntry.second;
-        return other.waitTimer != 0 && other.id != aExchange.id &&
+        return other.waitTimer != 0 && other.key != aExchange.key &&
                other.arrivedAt <= aExchange.arrivedAt &&
                planner_.ChooseService(other) == service;
       });
@@ -467,30 +563,18 @@
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
-    const ExchangeId id = aExchange.id;
-    relay::CallObserver observer;
-    observer.onHead = [this, id](const relay::ResponseHead& aHead) {
-      OnHead(id, aHead);
-    };
-    observer.onBody = [this, id](std::string_view aBytes) {
-      OnBody(id, aBytes);
-    };
-    observer.onEnd = [this, id](CallOutcome aOutcome, std::string_view aWhy) {
-      OnAttemptEnd(id, aOutcome, aWhy);
-    };
-    attempt.call = client_.Start(std::move(call), std::move(observer));
-    aExchange.attempt = std::move(attempt);
+    StartCall(aExchange, std::move(attempt), std::move(call));
     if (aExchange.route.executionSemantics == ExecutionSemantics::Idempotent) {
       aExchange.attemptTimer = timers_.After(
         std::max(aExchange.route.latencyTarget, kMinAttemptTimeout),
-        [this, id] { OnSlowAttempt(id); });
+        [this, key = aExchange.key] { OnSlowAttempt(key); });
     }
   }
 
   /// Retries a slow idempotent request at another upstream.
-  void OnSlowAttempt(ExchangeId aId)
+  void OnSlowAttempt(ExchangeKey aKey)
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find(aKey);
     if (found == exchanges_.end() || !found->second.attempt ||
         found->second.attempt->head) {
       return;
@@ -515,9 +599,9 @@
     Dispatch(exchange);
   }
 
-  void OnHead(ExchangeId aId, const relay::ResponseHead& aHead)
+  void OnHead(ExchangeKey aKey, const relay::ResponseHead& aHead)
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find(aKey);
     if (found == exchanges_.end() || !found->second.attempt) {
       return;
     }
@@ -525,12 +609,11 @@
     Attempt& attempt = *exchange.attempt;
     attempt.head = aHead;
     attempt.metadata = headerCodec_.ReadResponse(aHead);
-    const TimePoint now = timers_.Now();
-    fleet_.upstreams.RecordReachable(attempt.upstream);
-    RecordUpstreamSignals(attempt, now);
-    if (attempt.metadata.load) {
-      fleet_.upstreams.RecordReportedLoad(
-        attempt.upstream, *attempt.metadata.load, now);
+    if (attempt.peer.empty()) {
+      RecordUpstreamState(attempt);
+    } else {
+      attempt.metadata.notExecuted = IsRefusalOfPeer(attempt);
+      attempt.metadata.wrongUpstream = false;
     }
     if (!attempt.metadata.notExecuted && !attempt.metadata.wrongUpstream) {
       ++exchange.executions;
@@ -542,7 +625,8 @@
     MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       RecordSuccess(exchange, attempt);
-      if (!exchange.responseStarted && Escalate(exchange)) {
+      if (!exchange.responseStarted && attempt.peer.empty() &&
+          Escalate(exchange)) {
         return;
       }
       exchange.lastModel = attempt.model;
@@ -550,6 +634,26 @@
     }
   }
 
+  /// True if an instance answered itself that the request has not run.
+  static bool IsRefusalOfPeer(const Attempt& aAttempt)
+  {
+    const int status = aAttempt.head->status;
+    return !aAttempt.metadata.sealed && status / 100 != 2 &&
+           status != kBadGateway && status != kGatewayTimeout;
+  }
+
+  void RecordUpstreamState(const Attempt& aAttempt)
+  {
+    const TimePoint now = timers_.Now();
+    guard_.RecordReached(aAttempt.sentAt);
+    fleet_.upstreams.RecordReachable(aAttempt.upstream);
+    RecordUpstreamSignals(aAttempt, now);
+    if (aAttempt.metadata.load) {
+      fleet_.upstreams.RecordReportedLoad(
+        aAttempt.upstream, *aAttempt.metadata.load, now);
+    }
+  }
+
   /// Records that the upstream is leaving, or wants no requests for a while.
   void RecordUpstreamSignals(const Attempt& aAttempt, TimePoint aNow)
   {
@@ -618,6 +722,9 @@
                         const Attempt& aAttempt,
                         bool aGood)
   {
+    if (!aAttempt.peer.empty()) {
+      return; // the other instance records it
+    }
     fleet_.rollouts.RecordAnswer(aAttempt.service,
                                  aAttempt.softwareVersion,
                                  aExchange.route.name,
@@ -667,9 +774,9 @@
       options_.retryBudget, fleet_.InstanceCount(), aShare, timers_.Now());
   }
 
-  void OnBody(ExchangeId aId, std::string_view aBytes)
+  void OnBody(ExchangeKey aKey, std::string_view aBytes)
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find(aKey);
     if (found == exchanges_.end() || !found->second.attempt) {
       return;
     }
@@ -682,30 +789,30 @@
         ForwardEvents(exchange, events);
       }
       if (tooLong) {
-        BreakOff(aId, "event too long");
+        BreakOff(aKey, "event too long");
       }
       return;
     }
     attempt.body.append(aBytes);
     bufferedBytes_ += aBytes.size();
     if (attempt.body.size() > kMaxBufferedBodyBytes) {
-      BreakOff(aId, "response body too large");
+      BreakOff(aKey, "response body too large");
     } else if (bufferedBytes_ > kMaxBufferedBytes) {
       BreakOff(LargestBufferedBody(), "response bodies take too much memory");
     }
   }
 
   /// Ends an attempt whose response does not end.
-  void BreakOff(ExchangeId aId, std::string_view aWhy)
+  void BreakOff(ExchangeKey aKey, std::string_view aWhy)
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find(aKey);
     if (found != exchanges_.end() && found->second.attempt) {
       client_.Cancel(found->second.attempt->call);
-      OnAttemptEnd(aId, CallOutcome::ConnectionLost, aWhy);
+      OnAttemptEnd(aKey, CallOutcome::ConnectionLost, aWhy);
     }
   }
 
-  ExchangeId LargestBufferedBody() const
+  ExchangeKey LargestBufferedBody() const
   {
     return std::ranges::max_element(exchanges_,
                                     {},
@@ -720,10 +827,11 @@
   void ForwardEvents(Exchange& aExchange, const std::string& aEvents)
   {
     StartResponse(aExchange);
-    listener_->Write(aExchange.id, aEvents);
-    const auto still = exchanges_.find(aExchange.id);
+    ListenerOf(aExchange.key).Write(aExchange.key.id, aEvents);
+    const auto still = exchanges_.find(aExchange.key);
     if (still != exchanges_.end() && still->second.attempt &&
-        listener_->UnsentBytes(still->first) > kMaxUnsentBytes) {
+        ListenerOf(still->first).UnsentBytes(still->first.id) >
+          kMaxUnsentBytes) {
       still->second.paused = true;
       client_.SetPaused(still->second.attempt->call, true);
     }
@@ -739,11 +847,12 @@
     metrics_.Observe(observe::LatencyMetric::TimeToFirstToken,
                      LabelsOf(aExchange),
                      timers_.Now() - aExchange.arrivedAt);
-    listener_->Start(aExchange.id,
-                     head.status,
-                     head.reason,
-                     headerCodec_.ResponseHeaders(head),
-                     relay::Framing::Chunked);
+    ListenerOf(aExchange.key)
+      .Start(aExchange.key.id,
+             head.status,
+             head.reason,
+             headerCodec_.ResponseHeaders(head),
+             relay::Framing::Chunked);
   }
 
   static observe::MetricLabels LabelsOf(const Exchange& aExchange)
@@ -761,15 +870,19 @@
     Attempt& attempt = *aExchange.attempt;
     bufferedBytes_ -= attempt.body.size();
     MarkPromptRead(attempt);
-    planner_.RecordSessionVersion(aExchange, attempt);
+    if (attempt.peer.empty()) {
+      planner_.RecordSessionVersion(aExchange, attempt);
+    }
     fleet_.upstreams.RecordEnd(attempt.upstream);
     client_.Cancel(attempt.call);
     aExchange.attempt.reset();
   }
 
-  void OnAttemptEnd(ExchangeId aId, CallOutcome aOutcome, std::string_view aWhy)
+  void OnAttemptEnd(ExchangeKey aKey,
+                    CallOutcome aOutcome,
+                    std::string_view aWhy)
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find(aKey);
     if (found == exchanges_.end() || !found->second.attempt) {
       return;
     }
@@ -828,7 +941,15 @@
 
   void OnNotSent(Exchange& aExchange, const Attempt& aAttempt)
   {
-    MarkSuspect(aAttempt);
+    if (!aAttempt.peer.empty()) {
+      forwards_.Avoid(aAttempt.peer, timers_.Now());
+      Retry(aExchange, Reason::NoReach, false);
+      return;
+    }
+    guard_.RecordFailure(aAttempt.upstream, aAttempt.sentAt);
+    if (!guard_.IsCutOff()) {
+      MarkSuspect(aAttempt);
+    }
     Retry(aExchange, Reason::UpstreamSuspect, false);
   }
 
@@ -839,9 +960,14 @@
       ++aExchange.executions;
       aExchange.mayHaveExecuted = true;
     }
-    fleet_.upstreams.RecordOutcome(aAttempt.upstream, false);
-    RecordForRollout(aExchange, aAttempt, false);
-    RecordLostAttempt(aExchange, aAttempt);
+    if (!aAttempt.peer.empty()) {
+      forwards_.Avoid(aAttempt.peer, timers_.Now());
+    } else {
+      fleet_.upstreams.RecordOutcome(aAttempt.upstream, false);
+      RecordForRollout(aExchange, aAttempt, false);
+      RecordLostAttempt(aExchange, aAttempt);
+      guard_.RecordFailure(aAttempt.upstream, aAttempt.sentAt);
+    }
     aExchange.events.DropPartialEvent();
     Retry(aExchange, Reason::AttemptLost, true);
   }
@@ -890,6 +1016,10 @@
       FinishStream(aExchange, aAttempt);
       return;
     }
+    if (!aAttempt.peer.empty()) {
+      OnPeerResponse(aExchange, aAttempt);
+      return;
+    }
     const int status = aAttempt.head->status;
     if (aAttempt.metadata.wrongUpstream) {
       fleet_.upstreams.RecordUnreachable(
@@ -917,6 +1047,25 @@
     Retry(aExchange, Reason::UpstreamFailed, true);
   }
 
+  /// Handles a response that came through another instance, which has used the
+  /// request's attempts.
+  void OnPeerResponse(Exchange& aExchange, const Attempt& aAttempt)
+  {
+    if (aAttempt.metadata.notExecuted) {
+      forwards_.Avoid(aAttempt.peer, timers_.Now());
+      Retry(aExchange, Reason::NoReach, false);
+      return;
+    }
+    if (!aAttempt.metadata.sealed) {
+      GiveUp(aExchange, Reason::UpstreamFailed);
+      return;
+    }
+    if (IsValidSuccess(aExchange, aAttempt)) {
+      RecordCompletion(aExchange);
+    }
+    SendResponse(aExchange, *aAttempt.head, aAttempt.body);
+  }
+
   void RecordCompletion(const Exchange& aExchange)
   {
     fleet_.crashEvidence.RecordCompletion(aExchange.traits, timers_.Now());
@@ -993,9 +1142,9 @@
     }
   }
 
-  void OnDeadline(ExchangeId aId)
+  void OnDeadline(ExchangeKey aKey)
   {
-    const auto found = exchanges_.find(aId);
+    const auto found = exchanges_.find(aKey);
     if (found == exchanges_.end()) {
       return;
     }
@@ -1021,14 +1170,14 @@
   {
     net::Headers headers = headerCodec_.ResponseHeaders(aHead);
     headers.emplace_back("Content-Length", std::to_string(aBody.size()));
-    const ExchangeId id = aExchange.id;
-    listener_->Start(
-      id, aHead.status, aHead.reason, headers, relay::Framing::Length);
+    const ExchangeKey key = aExchange.key;
+    ListenerOf(key).Start(
+      key.id, aHead.status, aHead.reason, headers, relay::Framing::Length);
     metrics_.Observe(observe::LatencyMetric::TimeToFirstToken,
                      LabelsOf(aExchange),
                      timers_.Now() - aExchange.arrivedAt);
-    listener_->Write(id, aBody);
-    const auto still = exchanges_.find(id);
+    ListenerOf(key).Write(key.id, aBody);
+    const auto still = exchanges_.find(key);
     if (still != exchanges_.end()) {
       FinishResponse(still->second);
     }
@@ -1036,7 +1185,7 @@
 
   void FinishResponse(Exchange& aExchange)
   {
-    const ExchangeId id = aExchange.id;
+    const ExchangeKey key = aExchange.key;
     metrics_.Observe(observe::LatencyMetric::ResponseDuration,
                      LabelsOf(aExchange),
                      timers_.Now() - aExchange.arrivedAt);
@@ -1045,7 +1194,7 @@
                Describe(aExchange) + " model=" + aExchange.lastModel +
                  " events=" + std::to_string(aExchange.events.EventCount()));
     Remove(aExchange);
-    listener_->Finish(id);
+    ListenerOf(key).Finish(key.id);
   }
 
   void Refuse(Exchange& aExchange,
@@ -1053,7 +1202,7 @@
               Reason aReason,
               Duration aRetryAfter)
   {
-    const ExchangeId id = aExchange.id;
+    const ExchangeKey key = aExchange.key;
     if (aExchange.mayHaveExecuted && aStatus != kGatewayTimeout) {
       aStatus = kBadGateway; // other codes promise that nothing was executed
     }
@@ -1076,16 +1225,16 @@
     headers.emplace_back("Content-Type", "application/json");
     headers.emplace_back("Content-Length", std::to_string(body.size()));
     Remove(aExchange);
-    listener_->Start(
-      id, aStatus, ReasonPhrase(aStatus), headers, relay::Framing::Length);
-    listener_->Write(id, body);
-    listener_->Finish(id);
+    ListenerOf(key).Start(
+      key.id, aStatus, ReasonPhrase(aStatus), headers, relay::Framing::Length);
+    ListenerOf(key).Write(key.id, body);
+    ListenerOf(key).Finish(key.id);
   }
 
   /// Aborts a started response that cannot be completed.
   void AbortResponse(Exchange& aExchange, Reason aReason)
   {
-    const ExchangeId id = aExchange.id;
+    const ExchangeKey key = aExchange.key;
     log_.Write(EventNumber::AnswerBroken,
                Describe(aExchange) +
                  " reason=" + std::string(core::ToString(aReason)) +
@@ -1093,7 +1242,7 @@
     metrics_.CountRefusal(LabelsOf(aExchange),
                           { core::Verdict::Ran, aReason, Duration::zero() });
     Remove(aExchange);
-    listener_->Abort(id);
+    ListenerOf(key).Abort(key.id);
   }
 
   void Remove(Exchange& aExchange)
@@ -1101,7 +1250,7 @@
     EndAttempt(aExchange);
     timers_.Cancel(aExchange.deadlineTimer);
     timers_.Cancel(aExchange.waitTimer);
-    exchanges_.erase(aExchange.id);
+    exchanges_.erase(aExchange.key);
   }
 
   RouterOptions options_;
@@ -1112,8 +1261,10 @@
   EventLog& log_;
   observe::Metrics& metrics_;
   AttemptPlanner planner_;
-  relay::Listener* listener_ = nullptr;
-  std::unordered_map<ExchangeId, Exchange> exchanges_;
+  UplinkGuard guard_;
+  ForwardPlanner forwards_;
+  std::map<RequestOrigin, relay::Listener*> listeners_;
+  std::map<ExchangeKey, Exchange> exchanges_;
   std::map<std::string, routing::RetryBudget> retryBudgets_;
   routing::CrashAttribution crashAttribution_;
   std::size_t bufferedBytes_ = 0; ///< Of response bodies.
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -67,7 +67,7 @@
     options.retryBudget.minRetries = 100;
     router = MakeRequestRouter(
       options, { timers, client, headerCodec, fleet, log, *metrics });
-    router->SetListener(listener);
+    router->SetListener(RequestOrigin::Caller, listener);
     fleet.instances["self"] = { {}, "east" };
     configuration.version = 1;
     configuration.routes = {
@@ -122,7 +122,7 @@
       { "parts", aParts },
     };
     request.body = "body" + std::to_string(last);
-    router->OnRequest(last, request);
+    router->OnRequest(RequestOrigin::Caller, last, request);
     return last;
   }
 
@@ -668,7 +668,7 @@
 {
   Fixture fixture;
   const auto id = fixture.Request("safe");
-  fixture.router->OnClientDisconnected(id);
+  fixture.router->OnClientDisconnected(RequestOrigin::Caller, id);
   CHECK_FALSE(fixture.client.IsOpen(0));
   CHECK(fixture.router->OpenRequestCount() == 0);
   // No upstream counts the cancelled request as load.
@@ -686,7 +686,7 @@
   fixture.client.Head(0, fixture.Head(200));
   fixture.client.Body(0, "id: 1\ndata: a\n\n");
   CHECK(fixture.client.paused[fixture.client.sent[0].id]);
-  fixture.router->OnWritten(id);
+  fixture.router->OnWritten(RequestOrigin::Caller, id);
   CHECK_FALSE(fixture.client.paused[fixture.client.sent[0].id]);
 }
 
@@ -718,7 +718,7 @@
                         { "host", "h" },
                         { "key", "good" } };
     const std::size_t before = fixture.client.sent.size();
-    fixture.router->OnRequest(id, request);
+    fixture.router->OnRequest(RequestOrigin::Caller, id, request);
     if (fixture.client.sent.size() == before) {
       break;
     }
@@ -837,7 +837,7 @@
                                        fixture.fleet,
                                        fixture.log,
                                        *fixture.metrics });
-  fixture.router->SetListener(fixture.listener);
+  fixture.router->SetListener(RequestOrigin::Caller, fixture.listener);
   for (int request = 0; request < 100; ++request) {
     fixture.Request("safe");
     const std::size_t send = fixture.client.sent.size() - 1;
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -39,6 +39,7 @@
       if (aEntry.coldRemaining == Duration::zero()) {
         upstream.coldUntil = std::min(upstream.coldUntil, aNow);
       }
+      upstream.announcedColdUntil = aNow + aEntry.coldRemaining;
       return known->second;
     }
     upstream.removed = true;
@@ -48,6 +49,7 @@
   Upstream upstream;
   upstream.entry = aEntry;
   upstream.coldUntil = aNow + aEntry.coldRemaining;
+  upstream.announcedColdUntil = upstream.coldUntil;
   upstream.announcedLeaving = aEntry.leaving;
   ApplyDeparted(upstream, aNow);
   if (upstream.announcedLeaving) {
@@ -275,6 +277,18 @@
   }
 }
 
+void
+UpstreamTable::ForgiveFailures()
+{
+  for (auto& [id, upstream] : rows_) {
+    if (upstream.consecutiveFailures > 0) {
+      upstream.consecutiveFailures = 0;
+      upstream.suspectUntil = TimePoint{};
+      upstream.coldUntil = upstream.announcedColdUntil;
+    }
+  }
+}
+
 void
 UpstreamTable::RecordPeerLoad(UpstreamId aId,
                               uint32_t aRequests,
--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -26,6 +26,11 @@
     for (std::string part; parts >> part;) {
       metadata.promptSegments.push_back({ part, 100 });
     }
+    metadata.resumeAfter = std::string(aRequest.Header("after"));
+    if (!aRequest.Header("executions").empty()) {
+      metadata.forwardedExecutions = static_cast<uint32_t>(
+        std::stoul(std::string(aRequest.Header("executions"))));
+    }
     if (!aRequest.Header("left").empty()) {
       metadata.timeLeft =
         core::Duration{ std::stoll(std::string(aRequest.Header("left"))) *
@@ -43,6 +48,40 @@
            " left=" + std::to_string(aMetadata.timeLeft.count() / 1000) +
            " id=" + std::string(aRequest.Header("id"));
   }
+  std::string WriteForwardedRequest(
+    const net::HttpRequest& aRequest,
+    const entry::ForwardMetadata& aMetadata) const override
+  {
+    std::string message = aRequest.target;
+    for (const auto& [name, value] : aRequest.headers) {
+      if (name != "left" && name != "executions" &&
+          (name != "after" || aMetadata.resumeAfter.empty())) {
+        message += ' ' + name + '=' + value;
+      }
+    }
+    message += " left=" + std::to_string(aMetadata.timeLeft.count() / 1000);
+    message += " executions=" + std::to_string(aMetadata.executions);
+    if (!aMetadata.resumeAfter.empty()) {
+      message += " after=" + aMetadata.resumeAfter;
+    }
+    return message;
+  }
+
+  /// @brief The request that a forwarded message holds.
+  static net::HttpRequest ParseForwarded(const std::string& aMessage)
+  {
+    net::HttpRequest request;
+    request.method = "POST";
+    std::istringstream words(aMessage);
+    words >> request.target;
+    for (std::string word; words >> word;) {
+      const std::size_t equals = word.find('=');
+      request.headers.emplace_back(word.substr(0, equals),
+                                   word.substr(equals + 1));
+    }
+    return request;
+  }
+
   entry::ResponseMetadata ReadResponse(
     const relay::ResponseHead& aHead) const override
   {
--- a/src/hibiscusnotch/testing/fake_outbound_client.hpp
+++ b/src/hibiscusnotch/testing/fake_outbound_client.hpp
@@ -45,6 +45,11 @@
              core::Duration /*aTimeout*/,
              std::function<void(relay::Reachability)> aReport) override
   {
+    ++probes;
+    if (probeResult) {
+      aReport(probeResult(aPeer));
+      return;
+    }
     aReport(refusing.contains(aPeer.address) ? relay::Reachability::Refuses
                                              : relay::Reachability::Accepts);
   }
@@ -88,6 +93,9 @@
   std::set<relay::CallId> cancelled;
   std::map<relay::CallId, bool> paused;
   std::set<std::string> refusing; ///< Addresses without a process.
+  /// @brief In place of `refusing`, if set.
+  std::function<relay::Reachability(const core::Endpoint&)> probeResult;
+  std::size_t probes = 0;
 
 private:
   std::set<relay::CallId> open_;
--- a/src/hibiscusnotch/testing/router_fleet.hpp
+++ b/src/hibiscusnotch/testing/router_fleet.hpp
@@ -67,6 +67,7 @@
     std::string zone;
     FakeOutboundClient client;
     FakeListener listener;
+    FakeListener forwardListener;
     std::unique_ptr<entry::FleetState> fleet;
     std::unique_ptr<entry::EventLog> log;
     std::unique_ptr<observe::Metrics> metrics;
@@ -101,7 +102,7 @@
     instance.fleet = std::make_unique<entry::FleetState>();
     instance.handled = instance.client.sent.size();
     for (const Instance& one : instances) {
-      instance.fleet->instances[one.name] = { {}, one.zone };
+      instance.fleet->instances[one.name] = { { one.name, 1 }, one.zone };
     }
     instance.fleet->instancesKnown = true;
     instance.fleet->membership = 1;
@@ -137,6 +138,10 @@
       entry.slots = 64;
       instance.fleet->upstreams.Apply(entry, timers.Now());
     }
+    instance.client.probeResult = [this, aIndex](const core::Endpoint&) {
+      return cutOff.contains(aIndex) ? relay::Reachability::Unreachable
+                                     : relay::Reachability::Accepts;
+    };
     instance.log = std::make_unique<entry::EventLog>(
       timers, entry::EventLogOptions{ instance.name, 0, 0 });
     instance.metrics = observe::MakeMetrics();
@@ -152,7 +157,10 @@
                                                  *instance.fleet,
                                                  *instance.log,
                                                  *instance.metrics });
-    instance.router->SetListener(instance.listener);
+    instance.router->SetListener(entry::RequestOrigin::Caller,
+                                 instance.listener);
+    instance.router->SetListener(entry::RequestOrigin::Instance,
+                                 instance.forwardListener);
     for (Upstream& upstream : upstreams) {
       upstream.toldAt.erase(aIndex);
     }
@@ -164,7 +172,7 @@
     for (Instance& instance : instances) {
       if (aPresent) {
         instance.fleet->instances[instances[aIndex].name] = {
-          {}, instances[aIndex].zone
+          { instances[aIndex].name, 1 }, instances[aIndex].zone
         };
       } else {
         instance.fleet->instances.erase(instances[aIndex].name);
@@ -183,7 +191,8 @@
                         { "host", "h" },
                         { "left", "8000" } };
     request.body = "b";
-    instances[aInstance].router->OnRequest(id, request);
+    instances[aInstance].router->OnRequest(
+      entry::RequestOrigin::Caller, id, request);
     return id;
   }
 
@@ -197,6 +206,7 @@
         Serve(index, instance.handled);
       }
     }
+    PassForwardedResponses();
     timers.Advance(kStep);
     if (onReportPeriod && timers.Now() >= nextReport_) {
       nextReport_ = timers.Now() + kReportPeriod;
@@ -242,6 +252,10 @@
     constexpr core::Duration kToldDelay{ 500'000 };
     Instance& instance = instances[aInstance];
     const std::string& to = instance.client.sent[aSend].call.to.address;
+    if (to.front() == 'i') {
+      TakeForwarded(aInstance, aSend, std::stoul(to.substr(1)));
+      return;
+    }
     if (const auto cut = cutOff.find(aInstance); cut != cutOff.end()) {
       ServeBehindCut(aInstance, aSend, cut->second);
       return;
@@ -291,6 +305,57 @@
     });
   }
 
+  /// Hands a request that an instance forwarded to the other one.
+  void TakeForwarded(std::size_t aInstance,
+                     std::size_t aSend,
+                     std::size_t aReceiver)
+  {
+    const relay::ExchangeId id = ++lastId_;
+    forwarded_.push_back({ aInstance, aSend, aReceiver, id });
+    instances[aReceiver].router->OnRequest(
+      entry::RequestOrigin::Instance,
+      id,
+      FakeHeaderCodec::ParseForwarded(
+        instances[aInstance].client.sent[aSend].call.message));
+  }
+
+  void PassForwardedResponses()
+  {
+    const auto pending = std::exchange(forwarded_, {});
+    for (const ForwardedRequest& one : pending) {
+      FakeOutboundClient& client = instances[one.sender].client;
+      const auto& answers = instances[one.receiver].forwardListener.answers;
+      const auto found = answers.find(one.id);
+      if (!client.IsOpen(one.send)) {
+        instances[one.receiver].router->OnClientDisconnected(
+          entry::RequestOrigin::Instance, one.id);
+      } else if (found == answers.end() ||
+                 !(found->second.finished || found->second.aborted)) {
+        forwarded_.push_back(one);
+      } else {
+        const RecordedResponse response = found->second;
+        relay::ResponseHead head;
+        head.status = response.status;
+        head.headers = response.headers;
+        head.isSelfDelimited = true;
+        client.Head(one.send, head);
+        client.Body(one.send, response.body);
+        client.End(one.send,
+                   response.aborted ? relay::CallOutcome::ConnectionLost
+                                    : relay::CallOutcome::Complete);
+      }
+    }
+  }
+
+  struct ForwardedRequest
+  {
+    std::size_t sender = 0;
+    std::size_t send = 0; ///< Index of the sender's call.
+    std::size_t receiver = 0;
+    relay::ExchangeId id = 0;
+  };
+
+  std::vector<ForwardedRequest> forwarded_;
   RouterFleetOptions options_;
   FakeHeaderCodec headerCodec_;
   core::TimePoint nextReport_{};
