Blame no upstream for a cut of this instance's own links

What callers would see: an instance whose connections are reset and refused reports each upstream as crashed by the requests under way, and feeds failures to roll-outs; by the union of crash evidence its peers refuse those requests too, and good versions may be rolled back.

Cause: each instance took what its own links did for what upstreams did; a reset followed by one refused probe was a crash.

Change: failures without a response count only once UplinkGuard knows that other upstreams are reached: by traffic begun after the failure, or a sample connected to 100 ms later.

--- a/src/hibiscusnotch/entry/cut_off_test.cpp
+++ b/src/hibiscusnotch/entry/cut_off_test.cpp
@@ -380,3 +380,95 @@
     CHECK(upstream.coldUntil <= fleet.timers.Now());
   }
 }
+
+namespace {
+
+/// Loses all open connections of an instance to upstreams.
+void
+LoseConnections(RouterFleet::Instance& aInstance)
+{
+  const std::size_t count = aInstance.client.sent.size();
+  for (std::size_t call = 0; call < count; ++call) {
+    if (aInstance.client.IsOpen(call)) {
+      aInstance.client.End(call, relay::CallOutcome::ConnectionLost);
+    }
+  }
+}
+
+} // namespace
+
+// Guards against crash evidence, failure rates and roll-out verdicts from an
+// instance whose links are reset and refused: its peers would believe it.
+TEST_CASE("a cut that resets and refuses convicts nobody")
+{
+  for (const std::size_t openStreams : { 1, 2, 20 }) {
+    CAPTURE(openStreams);
+    RouterFleet fleet({ 3, 12, 1 });
+    auto& instance = fleet.instances[0];
+    routing::RolloutOrder order;
+    order.service = "app";
+    order.target = "v2";
+    order.duration = 20 * kSecond;
+    order.creationRevision = 3;
+    instance.fleet->rollouts.Apply(order, fleet.timers.Now(), { 3, 30 });
+    for (std::size_t stream = 0; stream < openStreams; ++stream) {
+      fleet.Request(0, "stream");
+    }
+    fleet.timers.Advance(kSecond / 100);
+    fleet.cutOff[0] = CutKind::Refuse;
+    instance.client.probeResult = [](const core::Endpoint&) {
+      return relay::Reachability::Refuses;
+    };
+    LoseConnections(instance);
+    fleet.timers.Advance(2 * kSecond);
+    CHECK(instance.fleet->crashEvidence.SuspectCount() == 0);
+    for (const auto& [id, upstream] : instance.fleet->upstreams.Rows()) {
+      CHECK(upstream.failureRate == 0);
+      CHECK(upstream.suspectUntil <= fleet.timers.Now());
+    }
+    double bad = 0;
+    for (const auto& [service, evidence] :
+         instance.fleet->rollouts.LocalEvidence(fleet.timers.Now())) {
+      for (const auto& [route, counts] : evidence.baseline) {
+        bad += counts.bad;
+      }
+    }
+    CHECK(bad == 0);
+  }
+}
+
+// Guards against a fleet that no longer counts real failures for fear of cuts.
+TEST_CASE("a crash is counted while other upstreams are reached")
+{
+  RouterFleet fleet({ 3, 12, 1 });
+  auto& instance = fleet.instances[0];
+  fleet.Request(0, "stream");
+  const std::string crashed = instance.client.sent[0].call.to.address;
+  const auto open = [&](relay::Reachability aOfCrashed) {
+    instance.client.probeResult = [crashed,
+                                   aOfCrashed](const core::Endpoint& aTo) {
+      return aTo.address == crashed ? aOfCrashed : relay::Reachability::Accepts;
+    };
+  };
+  std::size_t expected = 0;
+  SUBCASE("it refuses connections")
+  {
+    open(relay::Reachability::Refuses);
+    expected = 1;
+  }
+  // A mere reset, or a machine that does not answer, is no crash.
+  SUBCASE("it accepts connections")
+  {
+    open(relay::Reachability::Accepts);
+  }
+  SUBCASE("it is silent")
+  {
+    open(relay::Reachability::Unreachable);
+  }
+  LoseConnections(instance);
+  fleet.timers.Advance(kSecond);
+  CHECK(instance.fleet->crashEvidence.SuspectCount() == expected);
+  const auto id = instance.fleet->upstreams.FindByName(crashed);
+  REQUIRE(id);
+  CHECK(instance.fleet->upstreams.Find(*id)->failureRate > 0);
+}
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -582,8 +582,7 @@
     Exchange& exchange = found->second;
     exchange.attemptTimer = 0;
     const Attempt attempt = *exchange.attempt;
-    fleet_.upstreams.RecordOutcome(attempt.upstream, false);
-    RecordForRollout(exchange, attempt, false);
+    BlameUpstream(exchange, attempt);
     Reason reason = Reason::NoUpstream;
     if (exchange.executions + 1 >= exchange.route.maxAttempts ||
         !planner_.ChooseUpstream(exchange, exchange.modelIndex, reason) ||
@@ -714,26 +713,60 @@
 
   void RecordSuccess(const Exchange& aExchange, const Attempt& aAttempt)
   {
-    fleet_.upstreams.RecordOutcome(aAttempt.upstream, true);
-    RecordForRollout(aExchange, aAttempt, true);
+    if (aAttempt.peer.empty()) {
+      fleet_.upstreams.RecordOutcome(aAttempt.upstream, true);
+      RecordForRollout(ResultOf(aExchange, aAttempt), true);
+    }
   }
 
-  void RecordForRollout(const Exchange& aExchange,
-                        const Attempt& aAttempt,
-                        bool aGood)
+  struct AttemptResult
   {
-    if (!aAttempt.peer.empty()) {
-      return; // the other instance records it
-    }
-    fleet_.rollouts.RecordAnswer(aAttempt.service,
-                                 aAttempt.softwareVersion,
-                                 aExchange.route.name,
-                                 aExchange.route.name + '/' + aAttempt.model,
+    std::string service;
+    std::string softwareVersion;
+    std::string route;
+    std::string model;
+    Duration took{ 0 };
+  };
+
+  AttemptResult ResultOf(const Exchange& aExchange,
+                         const Attempt& aAttempt) const
+  {
+    return { aAttempt.service,
+             aAttempt.softwareVersion,
+             aExchange.route.name,
+             aAttempt.model,
+             timers_.Now() - aAttempt.sentAt };
+  }
+
+  void RecordForRollout(const AttemptResult& aResult, bool aGood)
+  {
+    fleet_.rollouts.RecordAnswer(aResult.service,
+                                 aResult.softwareVersion,
+                                 aResult.route,
+                                 aResult.route + '/' + aResult.model,
                                  aGood,
-                                 timers_.Now() - aAttempt.sentAt,
+                                 aResult.took,
                                  timers_.Now());
   }
 
+  /// Counts a failure without a response against the upstream and its version,
+  /// unless this instance's own links turn out to be the cause.
+  void BlameUpstream(const Exchange& aExchange, const Attempt& aAttempt)
+  {
+    if (!aAttempt.peer.empty()) {
+      return;
+    }
+    guard_.ExplainFailure(
+      [this,
+       upstream = aAttempt.upstream,
+       result = ResultOf(aExchange, aAttempt)](bool aCutOff) {
+        if (!aCutOff) {
+          fleet_.upstreams.RecordOutcome(upstream, false);
+          RecordForRollout(result, false);
+        }
+      });
+  }
+
   /// Discards a low-confidence answer and runs a larger model.
   bool Escalate(Exchange& aExchange)
   {
@@ -963,10 +996,9 @@
     if (!aAttempt.peer.empty()) {
       forwards_.Avoid(aAttempt.peer, timers_.Now());
     } else {
-      fleet_.upstreams.RecordOutcome(aAttempt.upstream, false);
-      RecordForRollout(aExchange, aAttempt, false);
-      RecordLostAttempt(aExchange, aAttempt);
       guard_.RecordFailure(aAttempt.upstream, aAttempt.sentAt);
+      BlameUpstream(aExchange, aAttempt);
+      RecordLostAttempt(aExchange, aAttempt);
     }
     aExchange.events.DropPartialEvent();
     Retry(aExchange, Reason::AttemptLost, true);
@@ -1002,12 +1034,17 @@
     if (aReachability != relay::Reachability::Refuses || suspects.empty()) {
       return;
     }
-    log_.Write(EventNumber::UpstreamCrashed,
-               "upstream=" + aEntry.name +
-                 " suspects=" + std::to_string(suspects.size()));
-    fleet_.crashEvidence.RecordCrash(
-      IncarnationHash(aEntry), suspects, timers_.Now());
-    LogQuarantineChanges(fleet_.crashEvidence, log_);
+    guard_.ExplainFailure([this, aEntry, suspects](bool aCutOff) {
+      if (aCutOff) {
+        return;
+      }
+      log_.Write(EventNumber::UpstreamCrashed,
+                 "upstream=" + aEntry.name +
+                   " suspects=" + std::to_string(suspects.size()));
+      fleet_.crashEvidence.RecordCrash(
+        IncarnationHash(aEntry), suspects, timers_.Now());
+      LogQuarantineChanges(fleet_.crashEvidence, log_);
+    });
   }
 
   void OnComplete(Exchange& aExchange, const Attempt& aAttempt)
@@ -1034,7 +1071,7 @@
     const bool valid = IsValidSuccess(aExchange, aAttempt);
     const bool good = valid || (status < kServerError && status / 100 != 2);
     fleet_.upstreams.RecordOutcome(aAttempt.upstream, good);
-    RecordForRollout(aExchange, aAttempt, good);
+    RecordForRollout(ResultOf(aExchange, aAttempt), good);
     if (valid || (good && aAttempt.metadata.sealed)) {
       RecordCompletion(aExchange);
       SendResponse(aExchange, *aAttempt.head, aAttempt.body);
@@ -1155,7 +1192,12 @@
       return;
     }
     if (exchange.attempt && !exchange.attempt->head) {
-      fleet_.upstreams.RecordOutcome(exchange.attempt->upstream, false);
+      guard_.ExplainFailure(
+        [this, upstream = exchange.attempt->upstream](bool aCutOff) {
+          if (!aCutOff) {
+            fleet_.upstreams.RecordOutcome(upstream, false);
+          }
+        });
     }
     const bool sent = exchange.attempt.has_value() || exchange.mayHaveExecuted;
     Refuse(exchange,
--- a/src/hibiscusnotch/routing/crash_evidence_test.cpp
+++ b/src/hibiscusnotch/routing/crash_evidence_test.cpp
@@ -230,6 +230,29 @@
   }
 }
 
+// Guards against crashes that convict a part though it was completed since: a
+// report arrives late, or comes round again.
+TEST_CASE("a crash that is reported after a later completion does not count")
+{
+  CrashEvidence evidence;
+  evidence.RecordCompletion(Traits({ kFatal }), kStart + 5 * kSecond);
+  TraitReport report;
+  report.trait = { kFatal, 1 };
+  for (uint32_t crash = 0; crash < 10; ++crash) {
+    report.crashes[crash] = { (6 + crash) * kSecond };
+  }
+  const TimePoint now = kStart + 10 * kSecond;
+  for (int round = 0; round < 3; ++round) {
+    evidence.Merge({ &report, 1 }, now);
+  }
+  CHECK_FALSE(evidence.IsQuarantined(kFatal));
+  // The same crashes convict where the completion came before them.
+  CrashEvidence other;
+  other.RecordCompletion(Traits({ kFatal }), now - 20 * kSecond);
+  other.Merge({ &report, 1 }, now);
+  CHECK(other.IsQuarantined(kFatal));
+}
+
 TEST_CASE("many crashes of other parts push out no conviction")
 {
   // Guards against a caller that sends thousands of new parts.
