Do not lose calls to an upstream that pauses for a second

What callers would see: answers of at-most-once requests lost (502), and streams moved, because their upstream and its machine were silent for a second: two probes that timed out within 0.35 to 0.7 s ended a call. Afterwards the sound upstream counted as cold.

Cause: a silence was judged by one unanswered probe, and two unanswered connects were taken for a restart though older connections went on.

Change: a call to a silent peer is lost when the peer was not reached for 1.3 s, 2 s if the request cannot be retried; a refused probe still ends it at once. Calls to one peer share a probe. Bytes on a connection from before the failures end the suspicion that the upstream has restarted; the suspicion of its links stays until a new connection succeeds.

Evidence: 'a call survives a peer that is silent for a second and goes on' fails on the former client (lost before the second ended) and passes now; a peer that stays silent is still given up within two seconds.

--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -38,6 +38,10 @@
   /// @brief After this time without a received byte, a second connection
   /// probes whether the peer is reachable; zero disables the probe.
   Duration probeAfterSilence{ 0 };
+  /// @brief How long the peer may be silent and unreachable before the call is
+  /// lost. A machine may pause for a moment and go on; a refused probe ends the
+  /// call at once.
+  Duration maxSilence{ 1'300'000 };
   bool bodyless = false; ///< For HEAD requests, whose response has no body.
 };
 
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -68,6 +68,7 @@
   TimePoint announcedColdUntil{}; ///< By its entry; coldUntil may be later.
   TimePoint suspectUntil{};
   uint32_t consecutiveFailures = 0;
+  TimePoint failingSince{}; ///< If there are consecutive failures.
   uint32_t inFlight = 0;    ///< Requests sent by this instance.
   double pendingTokens = 0; ///< Prompts sent by this instance and not read yet.
   double reportedPeerLoad = 0; ///< Of other instances.
@@ -138,7 +139,9 @@
   void RecordOutcome(UpstreamId aId, bool aGood);
   /// @brief The upstream could not be connected to.
   void RecordUnreachable(UpstreamId aId, Duration aColdStart, TimePoint aNow);
-  void RecordReachable(UpstreamId aId);
+  /// @brief It sent bytes on a connection that was begun at the time. One from
+  /// before its failures shows only that it has not restarted since.
+  void RecordReachable(UpstreamId aId, TimePoint aBegunAt);
   /// @brief Ends all suspicions: this instance's own links were the cause.
   void ForgiveFailures();
   /// @brief It announced that it is leaving; until its next incarnation it gets
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -235,4 +235,14 @@
     aExchange.route.latencyTarget / 2, kMinTimeout, kMaxTimeout);
 }
 
+Duration
+MaxSilence(const Exchange& aExchange)
+{
+  // Sound upstreams pause for about a second.
+  constexpr Duration kIfRetried{ 1'300'000 };
+  // A lost attempt that cannot be retried is lost for the caller.
+  constexpr Duration kOtherwise{ 2'000'000 };
+  return aExchange.route.RetrySafe() ? kIfRetried : kOtherwise;
+}
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -83,4 +83,9 @@
 Duration
 SilenceLimit(const Exchange& aExchange);
 
+/// @brief How long an upstream may be silent and unreachable before the attempt
+/// is lost.
+Duration
+MaxSilence(const Exchange& aExchange);
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -468,6 +468,7 @@
     call.bodyless = aExchange.request.method == "HEAD";
     call.connectTimeout = kForwardConnectTimeout;
     call.probeAfterSilence = SilenceLimit(aExchange);
+    call.maxSilence = MaxSilence(aExchange);
     log_.Write(EventNumber::RequestForwarded,
                Describe(aExchange) + " to=" + *peer +
                  " forwards=" + std::to_string(aExchange.triedPeers.size()));
@@ -543,6 +544,7 @@
     call.bodyless = aExchange.request.method == "HEAD";
     call.connectTimeout = ConnectTimeout(aExchange);
     call.probeAfterSilence = SilenceLimit(aExchange);
+    call.maxSilence = MaxSilence(aExchange);
     if (aExchange.sends == 0) {
       retryBudgets_[attempt.service].RecordRequest(now);
     }
@@ -645,7 +647,7 @@
   {
     const TimePoint now = timers_.Now();
     guard_.RecordReached(aAttempt.sentAt);
-    fleet_.upstreams.RecordReachable(aAttempt.upstream);
+    fleet_.upstreams.RecordReachable(aAttempt.upstream, aAttempt.sentAt);
     RecordUpstreamSignals(aAttempt, now);
     if (aAttempt.metadata.load) {
       fleet_.upstreams.RecordReportedLoad(
@@ -816,6 +818,7 @@
     Exchange& exchange = found->second;
     Attempt& attempt = *exchange.attempt;
     if (attempt.accepted) {
+      fleet_.upstreams.RecordReachable(attempt.upstream, attempt.sentAt);
       const std::string events = exchange.events.Feed(aBytes);
       const bool tooLong = exchange.events.IsEventTooLong();
       if (!events.empty()) {
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusnotch/relay/listener.hpp"
 #include "hibiscusnotch/relay/outbound_client.hpp"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -388,3 +389,96 @@
   REQUIRE(fixture.RunUntil([&] { return end.has_value(); }));
   CHECK(end == CallOutcome::ConnectionLost);
 }
+
+namespace {
+
+/// A peer whose machine answers no new connections: its queue of connections
+/// that wait to be accepted is full.
+struct SilentPeer
+{
+  explicit SilentPeer(boost::asio::io_context& aContext)
+    : acceptor(aContext)
+    , served(aContext)
+    , waiting{ tcp::socket(aContext),
+               tcp::socket(aContext),
+               tcp::socket(aContext) }
+  {
+    const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    acceptor.open(any.protocol());
+    acceptor.bind(any);
+    acceptor.listen(0);
+  }
+
+  /// Accepts one connection, then no more.
+  void AcceptOne()
+  {
+    acceptor.async_accept(served, [this](const boost::system::error_code&) {
+      for (tcp::socket& socket : waiting) {
+        socket.async_connect(acceptor.local_endpoint(),
+                             [](const boost::system::error_code&) {});
+      }
+      accepted = true;
+    });
+  }
+
+  tcp::acceptor acceptor;
+  tcp::socket served;
+  std::array<tcp::socket, 3> waiting;
+  bool accepted = false;
+};
+
+struct SilentCall
+{
+  std::optional<CallOutcome> end;
+
+  void Start(Fixture& aFixture, const SilentPeer& aPeer)
+  {
+    OutboundCall call;
+    call.to = { "127.0.0.1", aPeer.acceptor.local_endpoint().port() };
+    call.message = kGet;
+    call.probeAfterSilence = core::Duration{ 100'000 };
+    call.maxSilence = core::Duration{ 1'300'000 };
+    aFixture.client->Start(
+      call,
+      { [](const ResponseHead&) {},
+        [](std::string_view) {},
+        [this](CallOutcome aEnd, std::string_view) { end = aEnd; } });
+  }
+};
+
+} // namespace
+
+// Guards against answers that are lost because their upstream was silent for a
+// second and its machine did not answer meanwhile.
+TEST_CASE("a call survives a peer that is silent for a second and goes on")
+{
+  Fixture fixture;
+  SilentPeer peer(fixture.context);
+  peer.AcceptOne();
+  SilentCall call;
+  call.Start(fixture, peer);
+  REQUIRE(fixture.RunUntil([&] { return peer.accepted; }));
+  fixture.context.run_for(std::chrono::milliseconds(1000));
+  fixture.context.restart();
+  CHECK_FALSE(call.end);
+  boost::asio::write(peer.served,
+                     boost::asio::buffer(std::string(
+                       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+  REQUIRE(fixture.RunUntil([&] { return call.end.has_value(); }));
+  CHECK(call.end == CallOutcome::Complete);
+}
+
+// Guards against callers that wait for a peer that is down.
+TEST_CASE("a call to a peer that stays silent is lost within two seconds")
+{
+  Fixture fixture;
+  SilentPeer peer(fixture.context);
+  peer.AcceptOne();
+  SilentCall call;
+  call.Start(fixture, peer);
+  REQUIRE(fixture.RunUntil([&] { return peer.accepted; }));
+  const auto start = std::chrono::steady_clock::now();
+  REQUIRE(fixture.RunUntil([&] { return call.end.has_value(); }));
+  CHECK(call.end == CallOutcome::ConnectionLost);
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+}
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace hibiscusnotch::relay {
 
@@ -31,6 +32,7 @@
   TimerId connectTimer = 0;
   TimerId silenceTimer = 0;
   Duration probeAfterSilence{ 0 };
+  Duration maxSilence{ 0 };
   core::Endpoint peer;
   bool connected = false;
   bool headReported = false;
@@ -50,6 +52,13 @@
   std::function<void(Reachability)> report;
 };
 
+/// A call that waits for its peer to be probed.
+struct SilentCall
+{
+  CallId call = 0;
+  Duration wait{ 0 }; ///< Before the probe.
+};
+
 class ConnectionPerCall : public OutboundClient
 {
 public:
@@ -67,6 +76,7 @@
     pending.reader = MakeResponseReader(aCall.bodyless);
     pending.observer = std::move(aObserver);
     pending.probeAfterSilence = aCall.probeAfterSilence;
+    pending.maxSilence = aCall.maxSilence;
     pending.peer = aCall.to;
     pending.connectTimer = timers_.After(aCall.connectTimeout, [this, id] {
       End(id, CallOutcome::NotSent, "connect timed out");
@@ -263,10 +273,17 @@
     });
   }
 
+  using PeerKey = std::pair<std::string, uint16_t>;
+
+  static PeerKey KeyOf(const core::Endpoint& aPeer)
+  {
+    return { aPeer.address, aPeer.port };
+  }
+
   /// True if a call to the peer connected or received bytes within the time.
   bool ActiveWithin(const core::Endpoint& aPeer, Duration aTime) const
   {
-    const auto last = lastActivity_.find({ aPeer.address, aPeer.port });
+    const auto last = lastActivity_.find(KeyOf(aPeer));
     return last != lastActivity_.end() && timers_.Now() - last->second < aTime;
   }
 
@@ -276,25 +293,46 @@
       // Addresses change over time; an extra probe is harmless.
       lastActivity_.clear();
     }
-    lastActivity_[{ aPeer.address, aPeer.port }] = timers_.Now();
+    lastActivity_[KeyOf(aPeer)] = timers_.Now();
   }
 
-  /// Tests whether the peer of a silent call still accepts connections.
+  /// Tests whether the peer of a silent call still accepts connections. Calls
+  /// to one peer share a probe.
   void ProbeSilentPeer(CallId aCall,
                        const core::Endpoint& aPeer,
                        Duration aWait)
   {
-    Probe(aPeer, kProbeTimeout, [this, aCall](Reachability aReachability) {
-      if (aReachability != Reachability::Accepts && Find(aCall)) {
-        End(aCall,
-            CallOutcome::ConnectionLost,
-            aReachability == Reachability::Refuses
-              ? "silent, and connection refused"
-              : "silent, and connect timed out");
+    std::vector<SilentCall>& calls = silentCalls_[KeyOf(aPeer)];
+    calls.push_back({ aCall, aWait });
+    if (calls.size() > 1) {
+      return; // the probe is under way
+    }
+    Probe(aPeer, kProbeTimeout, [this, aPeer](Reachability aReachability) {
+      auto silent = silentCalls_.extract(KeyOf(aPeer));
+      for (const SilentCall& one : silent.mapped()) {
+        if (PendingCall* pending = Find(one.call)) {
+          OnSilenceProbed(one, *pending, aReachability);
+        }
       }
     });
-    if (PendingCall* pending = Find(aCall)) {
-      StartSilenceTimer(aCall, *pending, aWait * 2);
+  }
+
+  void OnSilenceProbed(const SilentCall& aSilent,
+                       PendingCall& aPending,
+                       Reachability aReachability)
+  {
+    if (aReachability == Reachability::Accepts) {
+      StartSilenceTimer(aSilent.call, aPending, aSilent.wait * 2);
+    } else if (aReachability == Reachability::Refuses) {
+      End(aSilent.call,
+          CallOutcome::ConnectionLost,
+          "silent, and connection refused");
+    } else if (ActiveWithin(aPending.peer, aPending.maxSilence)) {
+      ProbeSilentPeer(aSilent.call, aPending.peer, aSilent.wait);
+    } else {
+      End(aSilent.call,
+          CallOutcome::ConnectionLost,
+          "silent, and connect timed out");
     }
   }
 
@@ -348,7 +386,8 @@
   Timers& timers_;
   std::unordered_map<CallId, PendingCall> calls_;
   std::unordered_map<CallId, PendingProbe> probes_;
-  std::map<std::pair<std::string, uint16_t>, TimePoint> lastActivity_;
+  std::map<PeerKey, TimePoint> lastActivity_;
+  std::map<PeerKey, std::vector<SilentCall>> silentCalls_;
   CallId lastId_ = 0;
 };
 
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -257,7 +257,9 @@
   if (Upstream* upstream = Find(aId)) {
     const uint32_t doublings =
       std::min<uint32_t>(upstream->consecutiveFailures, 4);
-    ++upstream->consecutiveFailures;
+    if (upstream->consecutiveFailures++ == 0) {
+      upstream->failingSince = aNow;
+    }
     upstream->suspectUntil =
       aNow + std::min(kMaxSuspicion, kInitialSuspicion * (1U << doublings));
     // It may have restarted unnoticed: treat it as cold when it returns.
@@ -269,12 +271,18 @@
 }
 
 void
-UpstreamTable::RecordReachable(UpstreamId aId)
+UpstreamTable::RecordReachable(UpstreamId aId, TimePoint aBegunAt)
 {
-  if (Upstream* upstream = Find(aId)) {
-    upstream->consecutiveFailures = 0;
-    upstream->suspectUntil = TimePoint{};
+  Upstream* upstream = Find(aId);
+  if (!upstream || upstream->consecutiveFailures == 0) {
+    return;
+  }
+  if (aBegunAt < upstream->failingSince) {
+    upstream->coldUntil = upstream->announcedColdUntil;
+    return;
   }
+  upstream->consecutiveFailures = 0;
+  upstream->suspectUntil = TimePoint{};
 }
 
 void
--- a/src/hibiscusnotch/routing/upstream_table_test.cpp
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -95,7 +95,25 @@
   table.RecordUnreachable(id, 3 * kSecond, kNow);
   CHECK(table.Find(id)->coldUntil > kNow + 3 * kSecond);
   CHECK(table.Find(id)->suspectUntil > kNow);
-  table.RecordReachable(id);
+  table.RecordReachable(id, kNow);
+  CHECK(table.Find(id)->suspectUntil <= kNow);
+}
+
+// Guards against sound upstreams that get a cold one's few requests because
+// they, or the links to them, paused for a second.
+TEST_CASE("an upstream that did not answer for a while is not cold if its "
+          "connections live on")
+{
+  UpstreamTable table;
+  const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
+  table.RecordUnreachable(id, 5 * kSecond, kNow);
+  table.RecordUnreachable(id, 5 * kSecond, kNow + kSecond / 2);
+  CHECK(table.Find(id)->coldUntil > kNow + 5 * kSecond);
+  table.RecordReachable(id, kNow - kSecond);
+  CHECK(table.Find(id)->coldUntil <= kNow);
+  // New connections still fail, as far as is known.
+  CHECK(table.Find(id)->suspectUntil > kNow + kSecond / 2);
+  table.RecordReachable(id, kNow + kSecond);
   CHECK(table.Find(id)->suspectUntil <= kNow);
 }
 
