--- a/src/hibiscusnotch/relay/socket_io.cpp
+++ b/src/hibiscusnotch/relay/socket_io.cpp
@@ -12,11 +12,13 @@
 // Keeps a busy connection from starving the others.
 constexpr std::size_t kMaxReadsPerWake = 4;
 // Detects a peer that is down or unreachable, or a connection that a middlebox
-// dropped, within about two seconds.
+// dropped, within three seconds, and survives a peer that pauses for a second.
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-constexpr int kUnacknowledgedTimeoutMs = 3000;
+// Also decides when keep-alive probes give up, whatever their count.
+constexpr int kUserTimeoutMs =
+  1000 * (kKeepAliveIdleSeconds + kKeepAliveIntervalSeconds * kKeepAliveProbes);
 
 } // namespace
 
@@ -46,8 +48,8 @@
   setsockopt(handle,
              IPPROTO_TCP,
              TCP_USER_TIMEOUT,
-             &kUnacknowledgedTimeoutMs,
-             sizeof kUnacknowledgedTimeoutMs);
+             &kUserTimeoutMs,
+             sizeof kUserTimeoutMs);
 }
 
 void
