--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -96,6 +96,12 @@
         core::Duration{ std::stoll(std::string(aHead.Header("backoff"))) *
                         1000 };
     }
+    if (!aHead.Header("load").empty()) {
+      std::istringstream load{ std::string(aHead.Header("load")) };
+      metadata.load.emplace();
+      load >> metadata.load->running >> metadata.load->waiting >>
+        metadata.load->slots;
+    }
     if (!aHead.Header("limit").empty()) {
       metadata.requestLimit = std::stod(std::string(aHead.Header("limit")));
     }
--- a/src/hibiscusnotch/testing/router_fleet.hpp
+++ b/src/hibiscusnotch/testing/router_fleet.hpp
@@ -27,6 +27,9 @@
   std::size_t upstreams = 12;
   std::size_t zones = 3;
   core::Duration serviceTime{ 200'000 };
+  std::size_t slots = 64;
+  /// @brief Requests that each upstream lets wait; more are rejected.
+  std::size_t waitingRoom = 1000;
 };
 
 /// @brief What an instance that is cut off from all upstreams sees.
@@ -59,6 +62,13 @@
     };
     std::vector<Arrival> arrivals;
     std::map<std::size_t, core::TimePoint> toldAt; ///< By instance.
+    /// Stated in its responses; with more rejections in a second it falls.
+    std::optional<std::size_t> brittle;
+    std::size_t running = 0;
+    std::deque<std::size_t> waiting;        ///< Indexes into runs.
+    std::deque<core::TimePoint> rejections; ///< Of the last second.
+    core::TimePoint downUntil{};
+    std::size_t falls = 0;
   };
 
   struct Instance
@@ -135,7 +145,7 @@
       entry.endpoint = { upstream.name, 1 };
       entry.service = "app";
       entry.zone = upstream.zone;
-      entry.slots = 64;
+      entry.slots = static_cast<uint32_t>(options_.slots);
       instance.fleet->upstreams.Apply(entry, timers.Now());
     }
     instance.client.probeResult = [this, aIndex](const core::Endpoint&) {
@@ -268,29 +278,103 @@
         aInstance,
         told != upstream.toldAt.end() &&
           timers.Now() - told->second >= kToldDelay });
-    const std::string& message = instance.client.sent[aSend].call.message;
-    const std::size_t idAt = message.find("id=");
-    const std::string id = message.substr(idAt + 3);
-    timers.After(options_.serviceTime, [this, aInstance, aSend, index, id] {
-      Instance& sender = instances[aInstance];
-      if (!sender.client.IsOpen(aSend)) {
-        return;
+    if (timers.Now() < upstream.downUntil) {
+      timers.After(kRefusalDelay, [this, aInstance, aSend] {
+        instances[aInstance].client.End(aSend, relay::CallOutcome::NotSent);
+      });
+    } else if (upstream.running < options_.slots) {
+      Run(upstream, aInstance, aSend);
+    } else if (upstream.waiting.size() < options_.waitingRoom) {
+      upstream.waiting.push_back(runs_.size());
+      runs_.push_back({ aInstance, aSend });
+    } else {
+      Reject(upstream, aInstance, aSend);
+    }
+  }
+
+  void Run(Upstream& aUpstream, std::size_t aInstance, std::size_t aSend)
+  {
+    ++aUpstream.running;
+    timers.After(
+      options_.serviceTime, [this, aInstance, aSend, name = aUpstream.name] {
+        FinishRun(upstreams.at(std::stoul(name.substr(1))), aInstance, aSend);
+      });
+  }
+
+  void FinishRun(Upstream& aUpstream, std::size_t aInstance, std::size_t aSend)
+  {
+    --aUpstream.running;
+    FakeOutboundClient& client = instances[aInstance].client;
+    if (client.IsOpen(aSend)) {
+      if (timers.Now() < aUpstream.downUntil) {
+        client.End(aSend, relay::CallOutcome::ConnectionLost);
+      } else {
+        client.Head(aSend, HeadOf(aUpstream, aInstance, aSend, 200));
+        client.Body(aSend, "id: 1\ndata: x\n\n");
+        client.End(aSend, relay::CallOutcome::Complete);
       }
-      relay::ResponseHead head;
-      head.status = 200;
-      head.headers = { { "id", id }, { "seal", "s" } };
-      head.isSelfDelimited = true;
-      if (upstreams[index].limit) {
-        head.headers.emplace_back("limit",
-                                  std::to_string(*upstreams[index].limit));
-        upstreams[index].toldAt.try_emplace(aInstance, timers.Now());
+    }
+    while (!aUpstream.waiting.empty() && aUpstream.running < options_.slots) {
+      const Waiting next = runs_[aUpstream.waiting.front()];
+      aUpstream.waiting.pop_front();
+      if (instances[next.instance].client.IsOpen(next.send)) {
+        Run(aUpstream, next.instance, next.send);
+      }
+    }
+  }
+
+  void Reject(Upstream& aUpstream, std::size_t aInstance, std::size_t aSend)
+  {
+    constexpr core::Duration kSecond{ 1'000'000 };
+    constexpr core::Duration kDownTime{ 3'000'000 };
+    const core::TimePoint now = timers.Now();
+    aUpstream.rejections.push_back(now);
+    while (now - aUpstream.rejections.front() >= kSecond) {
+      aUpstream.rejections.pop_front();
+    }
+    if (aUpstream.brittle && aUpstream.rejections.size() > *aUpstream.brittle) {
+      ++aUpstream.falls;
+      aUpstream.downUntil = now + kDownTime;
+      aUpstream.rejections.clear();
+      aUpstream.waiting.clear();
+    }
+    timers.After(kRefusalDelay, [this, &aUpstream, aInstance, aSend] {
+      FakeOutboundClient& client = instances[aInstance].client;
+      if (client.IsOpen(aSend)) {
+        relay::ResponseHead head = HeadOf(aUpstream, aInstance, aSend, 503);
+        head.headers.emplace_back("not-run", "1");
+        client.Head(aSend, head);
+        client.End(aSend, relay::CallOutcome::Complete);
       }
-      sender.client.Head(aSend, head);
-      sender.client.Body(aSend, "id: 1\ndata: x\n\n");
-      sender.client.End(aSend, relay::CallOutcome::Complete);
     });
   }
 
+  relay::ResponseHead HeadOf(Upstream& aUpstream,
+                             std::size_t aInstance,
+                             std::size_t aSend,
+                             int aStatus)
+  {
+    const std::string& message =
+      instances[aInstance].client.sent[aSend].call.message;
+    relay::ResponseHead head;
+    head.status = aStatus;
+    head.headers = { { "id", message.substr(message.find("id=") + 3) },
+                     { "seal", "s" },
+                     { "load",
+                       std::to_string(aUpstream.running) + ' ' +
+                         std::to_string(aUpstream.waiting.size()) + ' ' +
+                         std::to_string(options_.slots) } };
+    head.isSelfDelimited = true;
+    if (aUpstream.limit) {
+      head.headers.emplace_back("limit", std::to_string(*aUpstream.limit));
+      aUpstream.toldAt.try_emplace(aInstance, timers.Now());
+    }
+    if (aUpstream.brittle) {
+      head.headers.emplace_back("brittle", std::to_string(*aUpstream.brittle));
+    }
+    return head;
+  }
+
   void ServeBehindCut(std::size_t aInstance, std::size_t aSend, CutKind aKind)
   {
     const bool hangs = aKind == CutKind::Hang;
@@ -355,7 +439,16 @@
     relay::ExchangeId id = 0;
   };
 
+  struct Waiting
+  {
+    std::size_t instance = 0;
+    std::size_t send = 0;
+  };
+
+  static constexpr core::Duration kRefusalDelay{ 1'000 };
+
   std::vector<ForwardedRequest> forwarded_;
+  std::vector<Waiting> runs_;
   RouterFleetOptions options_;
   FakeHeaderCodec headerCodec_;
   core::TimePoint nextReport_{};
