Divide the slots of brittle upstreams among the instances

What callers would see: upstreams that state how many rejections a second they bear fall over one after the other under overload, come back and fall again; next to nothing is served.

Cause: the same class as the limit's: how much an upstream gets is decided by each instance for itself, and a full upstream is found out by being rejected.

Change: while a service's upstreams state that they are brittle, an instance has at most its share of an upstream's slots there at once; the shares of all add up to the slots, in the order that limits use, so that nothing is rejected for want of room. Where a service has too few upstreams for that, each instance gets some shares all the same, sends only while the known load leaves a slot, and pauses after a rejection for a second, doubling up to eight. The check is in IsEligible, as the limit's.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -67,6 +67,7 @@
   UplinksLost = 727,
   UplinksRegained = 728,
   RequestForwarded = 729,
+  ServiceBrittle = 730,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -52,6 +52,8 @@
   bool instancesKnown = false; ///< They have been listed at least once.
   uint64_t storeEra = 0;
   routing::CrashEvidence crashEvidence;
+  /// @brief Services whose upstreams fall over when they reject too much.
+  std::set<std::string, std::less<>> brittleServices;
 
   std::size_t InstanceCount() const
   {
--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -73,6 +73,9 @@
   /// @brief Requests per second that the upstream takes from all instances.
   std::optional<double> requestLimit;
   bool requestLimitUnreadable = false; ///< Stated, but not as a number.
+  /// @brief Rejections in a second that a brittle upstream bears; zero if they
+  /// are stated in a form that cannot be read.
+  std::optional<double> bearableRejections;
   std::optional<routing::ReportedLoad> load;
   std::optional<int> confidence; ///< 0 to 100.
 };
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hibiscusnotch/core/verdict.hpp"
+#include "hibiscusnotch/routing/slot_share.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
 #include <functional>
@@ -37,6 +38,9 @@
   /// second.
   std::function<double(const Upstream&)> coldStartRateLimit;
   TimePoint now;
+  /// @brief This instance's share of the slots of a brittle upstream; nothing
+  /// if it is not brittle.
+  std::function<std::optional<SlotShare>(const Upstream&)> slotShare = {};
 };
 
 /// @brief True if the upstream may get a new request now.
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -61,7 +61,10 @@
   /// @brief When it stated the limit or its end; at the epoch if never.
   TimePoint limitStatedAt{};
   LimitSource limitSource = LimitSource::Response;
-  SendPacer pacer;       ///< Of this instance's share of the limit.
+  SendPacer pacer; ///< Of this instance's share of the limit.
+  /// @brief It rejected requests for want of room and may go on until then.
+  TimePoint rejectingUntil{};
+  uint32_t consecutiveRejections = 0;
   TimePoint heldUntil{}; ///< Its entry may be one that a restore brought back.
   std::optional<TimePoint> lapsedAt; ///< Vanished in a store outage.
   TimePoint coldUntil{};
@@ -156,6 +159,11 @@
                           std::optional<double> aPerSecond,
                           TimePoint aStatedAt,
                           LimitSource aSource = LimitSource::Response);
+  /// @brief It rejected a request for want of room.
+  void RecordRejection(UpstreamId aId, TimePoint aNow);
+  /// @brief It accepted a request.
+  void RecordAcceptance(UpstreamId aId);
+
   /// @brief Rises with each change of a limit.
   uint64_t LimitChanges() const { return limitChanges_; }
   /// @brief Sets this instance's share of the upstream's limit, in requests per
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -84,6 +84,7 @@
   EventDescription{ UplinksLost, LogLevel::Error, "uplinks_lost" },
   EventDescription{ UplinksRegained, LogLevel::Info, "uplinks_regained" },
   EventDescription{ RequestForwarded, LogLevel::Info, "request_forwarded" },
+  EventDescription{ ServiceBrittle, LogLevel::Warning, "service_brittle" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -80,6 +80,31 @@
   return share->second;
 }
 
+std::optional<routing::SlotShare>
+AttemptPlanner::SlotShareOf(const routing::Upstream& aUpstream) const
+{
+  const routing::UpstreamEntry& entry = aUpstream.entry;
+  if (!fleet_.brittleServices.contains(entry.service)) {
+    return std::nullopt;
+  }
+  const auto known = slotShares_.find(entry.name);
+  if (known != slotShares_.end()) {
+    return known->second;
+  }
+  const auto upstreams =
+    std::ranges::count_if(fleet_.upstreams.Rows(), [&entry](const auto& aRow) {
+      return !aRow.second.removed && aRow.second.entry.service == entry.service;
+    });
+  return slotShares_
+    .emplace(entry.name,
+             routing::ShareSlots(entry.slots,
+                                 static_cast<std::size_t>(upstreams),
+                                 entry.name,
+                                 options_.instanceName,
+                                 SendersTo(fleet_, entry.zone)))
+    .first->second;
+}
+
 void
 AttemptPlanner::RecordSessionVersion(const Exchange& aExchange,
                                      const Attempt& aAttempt) const
@@ -156,6 +181,11 @@
     sharesMembership_ = fleet_.membership;
     coldStartShares_.clear();
   }
+  const std::size_t upstreams = fleet_.upstreams.Rows().size();
+  if (membersChanged || upstreams != slotSharesUpstreams_) {
+    slotSharesUpstreams_ = upstreams;
+    slotShares_.clear();
+  }
   if (membersChanged || limitChanges != sharesLimitChanges_) {
     sharesLimitChanges_ = limitChanges;
     ShareRequestLimits(options_.instanceName, fleet_, timers_.Now());
@@ -172,7 +202,10 @@
            [this](const routing::Upstream& aUpstream) {
              return ColdStartRateLimit(aUpstream);
            },
-           timers_.Now() };
+           timers_.Now(),
+           [this](const routing::Upstream& aUpstream) {
+             return SlotShareOf(aUpstream);
+           } };
 }
 
 std::optional<core::UpstreamId>
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -61,12 +61,17 @@
   /// Recomputes shares after changes of the instances or of a limit.
   void RefreshShares() const;
   double ColdStartRateLimit(const routing::Upstream& aUpstream) const;
+  std::optional<routing::SlotShare> SlotShareOf(
+    const routing::Upstream& aUpstream) const;
 
   const RouterOptions& options_;
   FleetState& fleet_;
   const relay::Timers& timers_;
   /// Shares by the upstream's name and rate, of the current membership.
   mutable std::map<std::pair<std::string, double>, double> coldStartShares_;
+  /// Shares of brittle upstreams by name, of the current membership.
+  mutable std::map<std::string, routing::SlotShare, std::less<>> slotShares_;
+  mutable std::size_t slotSharesUpstreams_ = 0; ///< For which they hold.
   mutable uint64_t sharesMembership_ = 0;
   mutable uint64_t sharesLimitChanges_ = 0;
 };
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -617,6 +617,7 @@
       attempt.metadata.wrongUpstream = false;
     }
     if (!attempt.metadata.notExecuted && !attempt.metadata.wrongUpstream) {
+      fleet_.upstreams.RecordAcceptance(attempt.upstream);
       ++exchange.executions;
       exchange.mayHaveExecuted = true;
     }
@@ -669,6 +670,7 @@
                  "upstream=" + aAttempt.upstreamName);
     }
     RecordRequestLimit(aAttempt, aNow);
+    RecordBrittleness(aAttempt);
     if (aAttempt.metadata.backoff) {
       fleet_.upstreams.RecordBackoff(aAttempt.upstream,
                                      aNow + *aAttempt.metadata.backoff);
@@ -678,6 +680,24 @@
     }
   }
 
+  /// Upstreams of a service are brittle together.
+  void RecordBrittleness(const Attempt& aAttempt)
+  {
+    const auto& rejections = aAttempt.metadata.bearableRejections;
+    if (!rejections && aAttempt.metadata.requestId.empty()) {
+      return; // not known to be the upstream's own response
+    }
+    const bool changed =
+      rejections ? fleet_.brittleServices.insert(aAttempt.service).second
+                 : fleet_.brittleServices.erase(aAttempt.service) > 0;
+    if (changed) {
+      log_.Write(EventNumber::ServiceBrittle,
+                 "service=" + aAttempt.service + " rejections=" +
+                   (rejections ? FormatRate(*rejections) : "any") +
+                   " upstream=" + aAttempt.upstreamName);
+    }
+  }
+
   void RecordRequestLimit(const Attempt& aAttempt, TimePoint aNow)
   {
     if (aAttempt.metadata.requestLimitUnreadable) {
@@ -1068,6 +1088,9 @@
       return;
     }
     if (aAttempt.metadata.notExecuted) {
+      if (status == kUnavailable) {
+        fleet_.upstreams.RecordRejection(aAttempt.upstream, timers_.Now());
+      }
       Retry(aExchange, Reason::CapacityLimit, false);
       return;
     }
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -196,6 +196,26 @@
 
 } // namespace
 
+namespace {
+
+/// True if a brittle upstream is expected to reject one more request.
+bool
+MayReject(const PlacementContext& aContext, const Upstream& aUpstream)
+{
+  const auto share = aContext.slotShare ? aContext.slotShare(aUpstream)
+                                        : std::optional<SlotShare>();
+  if (!share) {
+    return false;
+  }
+  return aContext.now < aUpstream.rejectingUntil ||
+         aUpstream.inFlight >= share->slots ||
+         (share->isOvercommitted &&
+          UpstreamTable::Load(aUpstream, aContext.now) + 1 >
+            aUpstream.entry.slots);
+}
+
+} // namespace
+
 bool
 IsEligible(const PlacementContext& aContext,
            const Upstream& aUpstream,
@@ -223,6 +243,10 @@
     aLastReason = core::Reason::RequestLimit;
     return false;
   }
+  if (MayReject(aContext, aUpstream)) {
+    aLastReason = core::Reason::CapacityLimit;
+    return false;
+  }
   if (aContext.evacuatedZones.contains(aUpstream.entry.zone)) {
     aLastReason = core::Reason::ZoneOut;
     return false;
@@ -254,7 +278,8 @@
     if (IsEligible(aContext, upstream, reason)) {
       return std::nullopt;
     }
-    if (reason == core::Reason::ColdStartLimit) {
+    if (reason == core::Reason::ColdStartLimit ||
+        reason == core::Reason::CapacityLimit) {
       return std::nullopt; // takes requests again within a second
     }
     const bool limited = reason == core::Reason::RequestLimit;
--- /dev/null
+++ b/src/hibiscusnotch/routing/slot_share_test.cpp
@@ -0,0 +1,63 @@
+#include "hibiscusnotch/routing/slot_share.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace hibiscusnotch::routing;
+
+namespace {
+
+struct Shares
+{
+  std::size_t sum = 0;
+  bool anyOvercommitted = false;
+  std::size_t holders = 0;
+};
+
+Shares
+SharesOfAll(std::size_t aInstances, uint32_t aSlots, std::size_t aUpstreams)
+{
+  std::vector<std::string> names;
+  for (std::size_t index = 0; index < aInstances; ++index) {
+    names.push_back("instance-" + std::to_string(index));
+  }
+  std::vector<Sender> senders;
+  for (const std::string& name : names) {
+    senders.push_back({ name, senders.size() % 2 == 0 });
+  }
+  Shares shares;
+  for (const std::string& name : names) {
+    const SlotShare share = ShareSlots(aSlots, aUpstreams, "u", name, senders);
+    shares.sum += share.slots;
+    shares.holders += share.slots > 0 ? 1 : 0;
+    shares.anyOvercommitted = shares.anyOvercommitted || share.isOvercommitted;
+  }
+  return shares;
+}
+
+} // namespace
+
+// Guards against shares that fill an upstream beyond its slots, or leave some.
+TEST_CASE("the shares of all instances are the upstream's slots")
+{
+  for (const std::size_t instances : { 1, 3, 8, 65, 295 }) {
+    for (const uint32_t slots : { 6U, 12U, 24U, 64U, 128U }) {
+      CAPTURE(instances);
+      CAPTURE(slots);
+      const Shares shares = SharesOfAll(instances, slots, 320);
+      CHECK(shares.sum == slots);
+      CHECK_FALSE(shares.anyOvercommitted);
+    }
+  }
+}
+
+// Guards against instances that cannot send to a service at all, as it has few
+// upstreams.
+TEST_CASE("a service of few upstreams gives each instance several shares")
+{
+  const Shares shares = SharesOfAll(295, 6, 5);
+  CHECK(shares.anyOvercommitted);
+  CHECK(shares.holders * 5 >= 295 * 3);
+  CHECK(shares.sum == shares.holders); // one request each
+}
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -12,7 +12,10 @@
   400'000
 };                                             // longer than a connect timeout
 constexpr Duration kMaxSuspicion{ 3'000'000 }; // about the time of a restart
-constexpr double kOutcomeEwmaWeight = 0.15;    // averages about seven outcomes
+// The span in which a brittle upstream counts its rejections.
+constexpr Duration kMinRejectionPause{ 1'000'000 };
+constexpr uint32_t kMaxRejectionDoublings = 3;
+constexpr double kOutcomeEwmaWeight = 0.15; // averages about seven outcomes
 constexpr double kMaxOutcomeCount = 20;
 
 } // namespace
@@ -139,6 +142,26 @@
   return changed;
 }
 
+void
+UpstreamTable::RecordRejection(UpstreamId aId, TimePoint aNow)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->rejectingUntil =
+      aNow +
+      kMinRejectionPause * (1U << std::min(upstream->consecutiveRejections,
+                                           kMaxRejectionDoublings));
+    ++upstream->consecutiveRejections;
+  }
+}
+
+void
+UpstreamTable::RecordAcceptance(UpstreamId aId)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->consecutiveRejections = 0;
+  }
+}
+
 void
 UpstreamTable::SetSendRate(UpstreamId aId, double aPerSecond, TimePoint aNow)
 {
--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -102,6 +102,10 @@
       load >> metadata.load->running >> metadata.load->waiting >>
         metadata.load->slots;
     }
+    if (!aHead.Header("brittle").empty()) {
+      metadata.bearableRejections =
+        std::stod(std::string(aHead.Header("brittle")));
+    }
     if (!aHead.Header("limit").empty()) {
       metadata.requestLimit = std::stod(std::string(aHead.Header("limit")));
     }
