Ask two upstreams, not six, whether a cut is over

A fleet whose upstreams are all gone would connect to each of them some twenty times a second when they come back (295 instances, six each, every 250 ms). Both of two must accept; one alone may be a connection that slipped through.

--- a/src/hibiscusnotch/entry/uplink_guard.cpp
+++ b/src/hibiscusnotch/entry/uplink_guard.cpp
@@ -14,6 +14,8 @@
 // alone may have crashed.
 constexpr std::size_t kMinFailures = 2;
 constexpr std::size_t kSampleSize = 6;
+// While cut off: a whole fleet may wait for upstreams to come back.
+constexpr std::size_t kRecheckSampleSize = 2;
 constexpr Duration kProbeTimeout{ 250'000 }; // many round trips
 // Traffic usually reaches another upstream within this time.
 constexpr Duration kExplainDelay{ 100'000 };
@@ -120,7 +122,8 @@
   if (std::exchange(checking_, true)) {
     return;
   }
-  const std::vector<core::UpstreamId> sample = Sample(kSampleSize);
+  const std::vector<core::UpstreamId> sample =
+    Sample(IsCutOff() ? kRecheckSampleSize : kSampleSize);
   const auto check = std::make_shared<Check>();
   check->startedAt = timers_.Now();
   check->open = sample.size();
@@ -160,7 +163,7 @@
     return;
   }
   // A single success may be a connection that slipped through.
-  if (aCheck.accepted * 2 >= aCheck.size) {
+  if (aCheck.accepted == aCheck.size) {
     log_.Write(core::EventNumber::UplinksRegained,
                "after_ms=" + std::to_string(
                                (timers_.Now() - *cutOffSince_).count() / 1000));
