--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -33,6 +33,8 @@
   ConfigurationRevision,
   LiveInstances,
   StoreEra,
+  UplinksLost,
+  LimitedUpstreams,
 };
 
 enum class Counter
@@ -44,6 +46,7 @@
   PlatformCalls,
   MeshBytesSent,
   MeshBytesReceived,
+  ForwardedRequests,
 };
 
 /// @brief Histograms and counters by organisation and request class, and gauges
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -38,6 +38,10 @@
                      "Instances that count as alive here" },
   MetricDescription{ "hibiscusnotch_store_era",
                      "Era of the store; rises when it is restored" },
+  MetricDescription{ "hibiscusnotch_uplinks_lost",
+                     "1 while no upstream can be reached" },
+  MetricDescription{ "hibiscusnotch_limited_upstreams",
+                     "Upstreams that state a limit on their requests" },
 };
 constexpr std::array kCounters{
   MetricDescription{ "hibiscusnotch_attempts_total",
@@ -54,6 +58,8 @@
                      "Bytes of messages sent to other instances" },
   MetricDescription{ "hibiscusnotch_mesh_received_bytes_total",
                      "Bytes of messages received from other instances" },
+  MetricDescription{ "hibiscusnotch_forwarded_requests_total",
+                     "Requests sent through another instance" },
 };
 
 const prometheus::Histogram::BucketBoundaries kLatencyBucketsSeconds{
--- a/src/hibiscusnotch/testing/manual_timers.hpp
+++ b/src/hibiscusnotch/testing/manual_timers.hpp
@@ -17,14 +17,16 @@
   {
     const relay::TimerId id = ++last_;
     queue_.emplace(std::pair(aTime, id), std::move(aCall));
+    times_.emplace(id, aTime);
     return id;
   }
 
   void Cancel(relay::TimerId aTimer) override
   {
-    std::erase_if(queue_, [aTimer](const auto& aRow) {
-      return aRow.first.second == aTimer;
-    });
+    const auto time = times_.extract(aTimer);
+    if (!time.empty()) {
+      queue_.erase({ time.mapped(), aTimer });
+    }
   }
 
   /// @brief Advances the clock and runs due callbacks in order of time.
@@ -33,6 +35,7 @@
     const core::TimePoint end = now_ + aDelay;
     while (!queue_.empty() && queue_.begin()->first.first <= end) {
       auto due = queue_.extract(queue_.begin());
+      times_.erase(due.key().second);
       now_ = std::max(now_, due.key().first);
       due.mapped()();
     }
@@ -47,6 +50,7 @@
   core::TimePoint now_{ core::Duration{ 1'000'000'000 } };
   std::map<std::pair<core::TimePoint, relay::TimerId>, std::function<void()>>
     queue_;
+  std::map<relay::TimerId, core::TimePoint> times_; ///< Of the queued ones.
   relay::TimerId last_ = 0;
 };
 
