Send through instances that hold shares where this one has none

Cause: shares were divided without a way from those who have none to those who have.

Change: such an instance sends the request over the hop that instances without uplinks use, to a holder. The shares of brittle upstreams' slots no longer add up to more than the slots for services of few upstreams.

--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -68,6 +68,10 @@
   virtual std::size_t OpenRequestCount() const = 0;
   /// @brief Refuses all further requests, as the process is about to end.
   virtual void RefuseNewRequests() = 0;
+  /// @brief True while no upstream accepts connections of this instance.
+  virtual bool IsCutOff() const = 0;
+  /// @brief Times that a request was sent through another instance.
+  virtual uint64_t ForwardCount() const = 0;
   /// @brief True if the configuration is recent enough to accept API keys.
   virtual bool KeysAreFresh() const = 0;
 };
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "hibiscusnotch/core/verdict.hpp"
-#include "hibiscusnotch/routing/slot_share.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
 #include <functional>
@@ -12,6 +11,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hibiscusnotch::routing {
 
@@ -40,7 +40,7 @@
   TimePoint now;
   /// @brief This instance's share of the slots of a brittle upstream; nothing
   /// if it is not brittle.
-  std::function<std::optional<SlotShare>(const Upstream&)> slotShare = {};
+  std::function<std::optional<uint32_t>(const Upstream&)> slotShare = {};
 };
 
 /// @brief True if the upstream may get a new request now.
@@ -62,6 +62,12 @@
 std::optional<Opening>
 NextOpening(const PlacementContext& aContext, const PlacementRequest& aRequest);
 
+/// @brief The upstreams of the service and version, if each divides what it
+/// takes among the instances and none has a share for this one.
+std::vector<UpstreamId>
+UpstreamsOfOthers(const PlacementContext& aContext,
+                  const PlacementRequest& aRequest);
+
 /// @brief The eligible upstream of the lowest expected cost; sets the reason if
 /// there is none.
 std::optional<UpstreamId>
--- a/include/hibiscusnotch/routing/request_limit.hpp
+++ b/include/hibiscusnotch/routing/request_limit.hpp
@@ -14,6 +14,10 @@
 using core::Duration;
 using core::TimePoint;
 
+/// @brief How many instances share an upstream's limit.
+std::size_t
+LimitHolderCount(double aLimit, std::size_t aInstances);
+
 /// @brief This instance's share of an upstream's limit, in requests per second.
 ///
 /// A few instances divide the limit and the others send nothing: shares of all
--- a/include/hibiscusnotch/routing/sender_rank.hpp
+++ b/include/hibiscusnotch/routing/sender_rank.hpp
@@ -5,7 +5,9 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace hibiscusnotch::routing {
 
@@ -26,4 +28,10 @@
            std::string_view aSelf,
            std::span<const Sender> aSenders);
 
+/// @brief The names of the senders that rank first.
+std::vector<std::string>
+FirstSenders(std::string_view aUpstream,
+             std::span<const Sender> aSenders,
+             std::size_t aCount);
+
 } // namespace hibiscusnotch::routing
--- a/include/hibiscusnotch/routing/slot_share.hpp
+++ b/include/hibiscusnotch/routing/slot_share.hpp
@@ -10,22 +10,17 @@
 
 namespace hibiscusnotch::routing {
 
-/// @brief This instance's part of an upstream's slots.
-struct SlotShare
-{
-  uint32_t slots = 0; ///< Requests that it may have there at once.
-  /// @brief The instances' parts add up to more than the slots, as each needs
-  /// some upstreams of the service.
-  bool isOvercommitted = false;
-};
+/// @brief How many instances hold slots of the upstream.
+std::size_t
+SlotHolderCount(uint32_t aSlots, std::size_t aInstances);
 
-/// @brief Every instance computes the shares by itself.
-/// @param aUpstreamsOfService Among which an instance finds its shares.
-SlotShare
-ShareSlots(uint32_t aSlots,
-           std::size_t aUpstreamsOfService,
-           std::string_view aUpstream,
-           std::string_view aSelf,
-           std::span<const Sender> aSenders);
+/// @brief Requests that this instance may have at the upstream at once. The
+/// shares of all instances add up to the slots; every instance computes them by
+/// itself.
+uint32_t
+SlotShare(uint32_t aSlots,
+          std::string_view aUpstream,
+          std::string_view aSelf,
+          std::span<const Sender> aSenders);
 
 } // namespace hibiscusnotch::routing
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -2,6 +2,8 @@
 
 #include "hibiscusnotch/core/rendezvous.hpp"
 #include "hibiscusnotch/routing/cold_start_share.hpp"
+#include "hibiscusnotch/routing/request_limit.hpp"
+#include "hibiscusnotch/routing/slot_share.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -80,29 +82,46 @@
   return share->second;
 }
 
-std::optional<routing::SlotShare>
+std::optional<uint32_t>
 AttemptPlanner::SlotShareOf(const routing::Upstream& aUpstream) const
 {
   const routing::UpstreamEntry& entry = aUpstream.entry;
   if (!fleet_.brittleServices.contains(entry.service)) {
     return std::nullopt;
   }
-  const auto known = slotShares_.find(entry.name);
-  if (known != slotShares_.end()) {
-    return known->second;
+  const auto [share, isNew] = slotShares_.try_emplace(entry.name, 0);
+  if (isNew) {
+    share->second = routing::SlotShare(entry.slots,
+                                       entry.name,
+                                       options_.instanceName,
+                                       SendersTo(fleet_, entry.zone));
   }
-  const auto upstreams =
-    std::ranges::count_if(fleet_.upstreams.Rows(), [&entry](const auto& aRow) {
-      return !aRow.second.removed && aRow.second.entry.service == entry.service;
-    });
-  return slotShares_
-    .emplace(entry.name,
-             routing::ShareSlots(entry.slots,
-                                 static_cast<std::size_t>(upstreams),
-                                 entry.name,
-                                 options_.instanceName,
-                                 SendersTo(fleet_, entry.zone)))
-    .first->second;
+  return share->second;
+}
+
+std::set<std::string>
+AttemptPlanner::ShareHolders(const Exchange& aExchange,
+                             std::size_t aModelIndex) const
+{
+  const auto plan = MakePlan(aExchange, aModelIndex);
+  std::set<std::string> all;
+  for (const core::UpstreamId id :
+       routing::UpstreamsOfOthers(Context(), plan->request)) {
+    const routing::Upstream& upstream = *fleet_.upstreams.Find(id);
+    const std::size_t instances = fleet_.instances.size();
+    const std::size_t count =
+      upstream.requestLimit
+        ? routing::LimitHolderCount(*upstream.requestLimit, instances)
+        : routing::SlotHolderCount(upstream.entry.slots, instances);
+    const auto [holders, isNew] =
+      shareHolders_.try_emplace({ upstream.entry.name, count });
+    if (isNew) {
+      holders->second = routing::FirstSenders(
+        upstream.entry.name, SendersTo(fleet_, upstream.entry.zone), count);
+    }
+    all.insert(holders->second.begin(), holders->second.end());
+  }
+  return all;
 }
 
 void
@@ -180,11 +199,8 @@
   if (membersChanged) {
     sharesMembership_ = fleet_.membership;
     coldStartShares_.clear();
-  }
-  const std::size_t upstreams = fleet_.upstreams.Rows().size();
-  if (membersChanged || upstreams != slotSharesUpstreams_) {
-    slotSharesUpstreams_ = upstreams;
     slotShares_.clear();
+    shareHolders_.clear();
   }
   if (membersChanged || limitChanges != sharesLimitChanges_) {
     sharesLimitChanges_ = limitChanges;
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -11,8 +11,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hibiscusnotch::entry {
 
@@ -36,6 +38,11 @@
   std::optional<routing::Opening> NextOpening(const Exchange& aExchange,
                                               std::size_t aModelIndex) const;
 
+  /// @brief The instances that have shares of the service's upstreams, if each
+  /// upstream divides what it takes and this instance has no share.
+  std::set<std::string> ShareHolders(const Exchange& aExchange,
+                                     std::size_t aModelIndex) const;
+
   /// @brief Running and waiting requests per slot of the service's upstreams in
   /// this zone, whose load is known best; of all its upstreams if the zone has
   /// none.
@@ -61,8 +68,8 @@
   /// Recomputes shares after changes of the instances or of a limit.
   void RefreshShares() const;
   double ColdStartRateLimit(const routing::Upstream& aUpstream) const;
-  std::optional<routing::SlotShare> SlotShareOf(
-    const routing::Upstream& aUpstream) const;
+  /// Nothing if the upstream is not brittle.
+  std::optional<uint32_t> SlotShareOf(const routing::Upstream& aUpstream) const;
 
   const RouterOptions& options_;
   FleetState& fleet_;
@@ -70,8 +77,12 @@
   /// Shares by the upstream's name and rate, of the current membership.
   mutable std::map<std::pair<std::string, double>, double> coldStartShares_;
   /// Shares of brittle upstreams by name, of the current membership.
-  mutable std::map<std::string, routing::SlotShare, std::less<>> slotShares_;
-  mutable std::size_t slotSharesUpstreams_ = 0; ///< For which they hold.
+  mutable std::map<std::string, uint32_t, std::less<>> slotShares_;
+  /// Holders of shares by the upstream's name and their number, of the current
+  /// membership.
+  mutable std::map<std::pair<std::string, std::size_t>,
+                   std::vector<std::string>>
+    shareHolders_;
   mutable uint64_t sharesMembership_ = 0;
   mutable uint64_t sharesLimitChanges_ = 0;
 };
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "hibiscusnotch/entry/rollout_writer.hpp"
 #include "hibiscusnotch/store/mirrored_store.hpp"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <vector>
 
@@ -298,6 +299,14 @@
     }
     metrics_->Set(observe::Gauge::StoreEra,
                   static_cast<double>(fleet_.storeEra));
+    metrics_->Set(observe::Gauge::UplinksLost, router_->IsCutOff() ? 1 : 0);
+    metrics_->Set(observe::Gauge::LimitedUpstreams,
+                  static_cast<double>(std::ranges::count_if(
+                    fleet_.upstreams.Rows(), [](const auto& aRow) {
+                      return aRow.second.requestLimit.has_value();
+                    })));
+    metrics_->RaiseTo(observe::Counter::ForwardedRequests,
+                      router_->ForwardCount());
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
--- a/src/hibiscusnotch/entry/forward_planner.cpp
+++ b/src/hibiscusnotch/entry/forward_planner.cpp
@@ -26,13 +26,15 @@
 }
 
 std::optional<std::string>
-ForwardPlanner::ChoosePeer(std::span<const std::string> aTried, TimePoint aNow)
+ForwardPlanner::ChoosePeer(const std::set<std::string>& aAmong,
+                           std::span<const std::string> aTried,
+                           TimePoint aNow)
 {
   std::vector<const std::string*> local;
   std::vector<const std::string*> remote;
   std::size_t avoidedLocal = 0;
   for (const auto& [name, instance] : fleet_.instances) {
-    if (name == self_) {
+    if (name == self_ || (!aAmong.empty() && !aAmong.contains(name))) {
       continue;
     }
     const bool isLocal = instance.zone == zone_;
--- a/src/hibiscusnotch/entry/forward_planner.hpp
+++ b/src/hibiscusnotch/entry/forward_planner.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,7 +22,9 @@
 
   /// @brief An instance that is not avoided, each in turn. The first one for a
   /// request is of this zone while at least half of it can be used.
-  std::optional<std::string> ChoosePeer(std::span<const std::string> aTried,
+  /// @param aAmong The instances that can take the request; empty for all.
+  std::optional<std::string> ChoosePeer(const std::set<std::string>& aAmong,
+                                        std::span<const std::string> aTried,
                                         TimePoint aNow);
 
   /// @brief The instance refused a request, or was not reached.
--- a/src/hibiscusnotch/entry/request_limit_test.cpp
+++ b/src/hibiscusnotch/entry/request_limit_test.cpp
@@ -249,6 +249,35 @@
   }
 }
 
+// Guards against callers who get nothing since their instance has no share of
+// any upstream's limit, though others have shares to spare.
+TEST_CASE("an instance without a share sends through those that have one")
+{
+  RouterFleet fleet({ 8, 2, 4 });
+  fleet.onReportPeriod = [&fleet] { PassLimitsOn(fleet); };
+  for (RouterFleet::Upstream& upstream : fleet.upstreams) {
+    upstream.limit = 3;
+  }
+  RunLoad(fleet, 4, 4 * kSecond);
+  const core::TimePoint since = fleet.timers.Now();
+  std::vector<std::pair<std::size_t, relay::ExchangeId>> sent;
+  for (std::size_t request = 0; request < 32; ++request) {
+    const std::size_t instance = request % fleet.instances.size();
+    sent.emplace_back(instance, fleet.Request(instance, "unsafe"));
+    for (int step = 0; step < 25; ++step) {
+      fleet.Step();
+    }
+  }
+  RunLoad(fleet, 0, 2 * kSecond);
+  const auto served =
+    std::ranges::count_if(sent, [&fleet](const auto& aRequest) {
+      auto& answers = fleet.instances[aRequest.first].listener.answers;
+      return answers[aRequest.second].status == 200;
+    });
+  CHECK(served >= 30);
+  CHECK(WorstExcess(fleet, since) <= 1);
+}
+
 // Guards against callers that wait for a turn that never comes, or are told
 // that their request may have run.
 TEST_CASE("what the limits cannot serve is refused at once as not run")
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 #include <span>
 
 namespace hibiscusnotch::entry {
@@ -205,6 +206,10 @@
 
   void RefuseNewRequests() override { shuttingDown_ = true; }
 
+  bool IsCutOff() const override { return guard_.IsCutOff(); }
+
+  uint64_t ForwardCount() const override { return forwardCount_; }
+
   bool KeysAreFresh() const override
   {
     return !options_.enforceKeyRevocation ||
@@ -358,17 +363,22 @@
       return;
     }
     if (guard_.IsCutOff()) {
-      Forward(aExchange);
+      if (!Forward(aExchange, {})) {
+        GiveUp(aExchange, Reason::NoReach);
+      }
       return;
     }
     Reason reason = Reason::NoUpstream;
     const auto chosen =
       planner_.ChooseUpstream(aExchange, aExchange.modelIndex, reason);
-    if (!chosen) {
-      WaitForUpstream(aExchange, reason);
+    if (chosen) {
+      Send(aExchange, *chosen);
       return;
     }
-    Send(aExchange, *chosen);
+    const auto holders = planner_.ShareHolders(aExchange, aExchange.modelIndex);
+    if (holders.empty() || !Forward(aExchange, holders)) {
+      WaitForUpstream(aExchange, reason);
+    }
   }
 
   /// True if a trait of the request is quarantined. Grants the trait's trial if
@@ -431,21 +441,22 @@
                     exchanges_.end()));
   }
 
-  /// Sends the request through an instance that reaches upstreams.
-  void Forward(Exchange& aExchange)
+  /// Sends the request through another instance, which is one of the given ones
+  /// if there are any. Returns false if none can be asked.
+  bool Forward(Exchange& aExchange, const std::set<std::string>& aAmong)
   {
     const TimePoint now = timers_.Now();
-    const bool mayForward = aExchange.key.origin == RequestOrigin::Caller &&
-                            aExchange.triedPeers.size() < kMaxForwards &&
-                            aExchange.deadline - now >= kMinRemainingTime;
-    const auto peer = mayForward
-                        ? forwards_.ChoosePeer(aExchange.triedPeers, now)
-                        : std::nullopt;
+    if (aExchange.key.origin == RequestOrigin::Instance ||
+        aExchange.triedPeers.size() >= kMaxForwards ||
+        aExchange.deadline - now < kMinRemainingTime) {
+      return false;
+    }
+    const auto peer = forwards_.ChoosePeer(aAmong, aExchange.triedPeers, now);
     if (!peer) {
-      GiveUp(aExchange, Reason::NoReach);
-      return;
+      return false;
     }
     aExchange.triedPeers.push_back(*peer);
+    ++forwardCount_;
     Attempt attempt;
     attempt.peer = *peer;
     attempt.upstreamName = "via:" + *peer;
@@ -473,6 +484,7 @@
                Describe(aExchange) + " to=" + *peer +
                  " forwards=" + std::to_string(aExchange.triedPeers.size()));
     StartCall(aExchange, std::move(attempt), std::move(call));
+    return true;
   }
 
   void StartCall(Exchange& aExchange,
@@ -1137,7 +1149,7 @@
 
   /// True if the stream's end is that of its upstream: within an event, or with
   /// its connection before any event.
-  static bool IsCutOff(const Exchange& aExchange, const Attempt& aAttempt)
+  static bool IsTruncated(const Exchange& aExchange, const Attempt& aAttempt)
   {
     return aExchange.events.HasPartialEvent() ||
            (!aAttempt.head->isSelfDelimited &&
@@ -1146,7 +1158,7 @@
 
   void FinishStream(Exchange& aExchange, const Attempt& aAttempt)
   {
-    if (IsCutOff(aExchange, aAttempt)) {
+    if (IsTruncated(aExchange, aAttempt)) {
       OnConnectionLost(aExchange, aAttempt);
       return;
     }
@@ -1336,6 +1348,7 @@
   std::map<std::string, routing::RetryBudget> retryBudgets_;
   routing::CrashAttribution crashAttribution_;
   std::size_t bufferedBytes_ = 0; ///< Of response bodies.
+  uint64_t forwardCount_ = 0;
   bool shuttingDown_ = false;
 };
 
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -198,20 +198,20 @@
 
 namespace {
 
-/// True if a brittle upstream is expected to reject one more request.
+/// This instance's share of the slots of a brittle upstream.
+std::optional<uint32_t>
+SlotShareOf(const PlacementContext& aContext, const Upstream& aUpstream)
+{
+  return aContext.slotShare ? aContext.slotShare(aUpstream) : std::nullopt;
+}
+
+/// True if a brittle upstream may reject one more request.
 bool
 MayReject(const PlacementContext& aContext, const Upstream& aUpstream)
 {
-  const auto share = aContext.slotShare ? aContext.slotShare(aUpstream)
-                                        : std::optional<SlotShare>();
-  if (!share) {
-    return false;
-  }
-  return aContext.now < aUpstream.rejectingUntil ||
-         aUpstream.inFlight >= share->slots ||
-         (share->isOvercommitted &&
-          UpstreamTable::Load(aUpstream, aContext.now) + 1 >
-            aUpstream.entry.slots);
+  const auto share = SlotShareOf(aContext, aUpstream);
+  return share && (aContext.now < aUpstream.rejectingUntil ||
+                   aUpstream.inFlight >= *share);
 }
 
 } // namespace
@@ -300,6 +300,26 @@
   return next;
 }
 
+std::vector<UpstreamId>
+UpstreamsOfOthers(const PlacementContext& aContext,
+                  const PlacementRequest& aRequest)
+{
+  std::vector<UpstreamId> upstreams;
+  for (const auto& [id, upstream] : aContext.upstreams.Rows()) {
+    if (upstream.removed || upstream.announcedLeaving ||
+        upstream.entry.service != aRequest.service ||
+        !SatisfiesVersionConstraint(upstream.entry.softwareVersion, aRequest)) {
+      continue;
+    }
+    const bool hasNoRate = upstream.requestLimit && upstream.pacer.Rate() <= 0;
+    if (!hasNoRate && SlotShareOf(aContext, upstream) != 0U) {
+      return {};
+    }
+    upstreams.push_back(id);
+  }
+  return upstreams;
+}
+
 std::optional<UpstreamId>
 ChooseUpstream(const PlacementContext& aContext,
                const PlacementRequest& aRequest,
--- a/src/hibiscusnotch/routing/request_limit.cpp
+++ b/src/hibiscusnotch/routing/request_limit.cpp
@@ -20,6 +20,14 @@
 
 } // namespace
 
+std::size_t
+LimitHolderCount(double aLimit, std::size_t aInstances)
+{
+  return std::min(
+    aInstances,
+    std::max(kMinSenders, static_cast<std::size_t>(aLimit / kRatePerSender)));
+}
+
 double
 RequestLimitShare(double aLimit,
                   std::string_view aUpstream,
@@ -28,10 +36,8 @@
 {
   const auto rank = SenderRank(aUpstream, aSelf, aSenders);
   const double limit = std::max(aLimit, kMinLimit);
-  const std::size_t count = std::min(
-    aSenders.size(),
-    std::max(kMinSenders, static_cast<std::size_t>(limit / kRatePerSender)));
-  return rank && *rank < count ? limit / static_cast<double>(count) : 0;
+  const std::size_t holders = LimitHolderCount(limit, aSenders.size());
+  return rank && *rank < holders ? limit / static_cast<double>(holders) : 0;
 }
 
 void
