Count a lost connection's failure from its loss, and log this instance's share of a limit

A response on a connection begun after the lost one, but before the loss, ended a suspected cut too soon. E700 names the share beside the limit.

--- a/include/hibiscusnotch/entry/uplink_guard.hpp
+++ b/include/hibiscusnotch/entry/uplink_guard.hpp
@@ -27,8 +27,9 @@
               FleetState& aFleet,
               EventLog& aLog);
 
-  /// @brief A connection to the upstream failed, or was lost before a response.
-  void RecordFailure(core::UpstreamId aUpstream, TimePoint aBegunAt);
+  /// @brief A connection to the upstream could not be made, or was lost.
+  /// @param aSince When it was begun, or lost.
+  void RecordFailure(core::UpstreamId aUpstream, TimePoint aSince);
   /// @brief An upstream responded on a connection that was begun at the time.
   /// Connections from before a cut may live on and say nothing of new ones.
   void RecordReached(TimePoint aBegunAt);
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -562,18 +562,19 @@
     }
     ++aExchange.sends;
     aExchange.tried.push_back(aUpstream);
-    log_.Write(
-      EventNumber::AttemptSent,
-      Describe(aExchange) + " to=" + attempt.upstreamName +
-        " software=" + attempt.softwareVersion +
-        " session=" + aExchange.metadata.session + " model=" + attempt.model +
-        " left_ms=" + FormatMilliseconds(metadata.timeLeft) +
-        " own_load=" + std::to_string(upstream.inFlight) + " load=" +
-        std::to_string(
-          static_cast<int>(routing::UpstreamTable::Load(upstream, now))) +
-        (upstream.requestLimit ? " limit=" + FormatRate(*upstream.requestLimit)
-                               : "") +
-        ConfigurationAge());
+    log_.Write(EventNumber::AttemptSent,
+               Describe(aExchange) + " to=" + attempt.upstreamName +
+                 " software=" + attempt.softwareVersion + " session=" +
+                 aExchange.metadata.session + " model=" + attempt.model +
+                 " left_ms=" + FormatMilliseconds(metadata.timeLeft) +
+                 " own_load=" + std::to_string(upstream.inFlight) + " load=" +
+                 std::to_string(static_cast<int>(
+                   routing::UpstreamTable::Load(upstream, now))) +
+                 (upstream.requestLimit
+                    ? " limit=" + FormatRate(*upstream.requestLimit) +
+                        " own_rate=" + FormatRate(upstream.pacer.Rate())
+                    : "") +
+                 ConfigurationAge());
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
@@ -1031,7 +1032,7 @@
     if (!aAttempt.peer.empty()) {
       forwards_.Avoid(aAttempt.peer, timers_.Now());
     } else {
-      guard_.RecordFailure(aAttempt.upstream, aAttempt.sentAt);
+      guard_.RecordFailure(aAttempt.upstream, timers_.Now());
       BlameUpstream(aExchange, aAttempt);
       RecordLostAttempt(aExchange, aAttempt);
     }
--- a/src/hibiscusnotch/entry/uplink_guard.cpp
+++ b/src/hibiscusnotch/entry/uplink_guard.cpp
@@ -43,13 +43,13 @@
 }
 
 void
-UplinkGuard::RecordFailure(core::UpstreamId aUpstream, TimePoint aBegunAt)
+UplinkGuard::RecordFailure(core::UpstreamId aUpstream, TimePoint aSince)
 {
   if (IsCutOff()) {
     return;
   }
   failed_.insert(aUpstream);
-  failingSince_ = std::min(failingSince_.value_or(aBegunAt), aBegunAt);
+  failingSince_ = std::min(failingSince_.value_or(aSince), aSince);
   if (failed_.size() >= kMinFailures) {
     StartCheck();
   }
--- a/src/hibiscusnotch/routing/request_limit_test.cpp
+++ b/src/hibiscusnotch/routing/request_limit_test.cpp
@@ -17,6 +17,7 @@
 Names(std::size_t aCount)
 {
   std::vector<std::string> names;
+  names.reserve(aCount);
   for (std::size_t index = 0; index < aCount; ++index) {
     names.push_back("instance-" + std::to_string(index));
   }
@@ -27,6 +28,7 @@
 Senders(const std::vector<std::string>& aNames)
 {
   std::vector<Sender> senders;
+  senders.reserve(aNames.size());
   for (const std::string& name : aNames) {
     senders.push_back({ name, senders.size() % 3 == 0 });
   }
--- a/src/hibiscusnotch/routing/slot_share_test.cpp
+++ b/src/hibiscusnotch/routing/slot_share_test.cpp
@@ -18,10 +18,12 @@
 SharesOfAll(std::size_t aInstances, uint32_t aSlots)
 {
   std::vector<std::string> names;
+  names.reserve(aInstances);
   for (std::size_t index = 0; index < aInstances; ++index) {
     names.push_back("instance-" + std::to_string(index));
   }
   std::vector<Sender> senders;
+  senders.reserve(names.size());
   for (const std::string& name : names) {
     senders.push_back({ name, senders.size() % 2 == 0 });
   }
--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -56,7 +56,7 @@
     for (const auto& [name, value] : aRequest.headers) {
       if (name != "left" && name != "executions" &&
           (name != "after" || aMetadata.resumeAfter.empty())) {
-        message += ' ' + name + '=' + value;
+        message.append(" ").append(name).append("=").append(value);
       }
     }
     message += " left=" + std::to_string(aMetadata.timeLeft.count() / 1000);
