Let instances without shares hear that limits and brittleness have ended

What callers would see: in a large fleet, requests for a service of few upstreams go over the hop to the few holders of shares for good, long after the upstreams were in need.

Cause: such an instance sends the upstreams nothing, so it hears no response without the statement; the report of a limit's end is passed on for five seconds only.

Change: an upstream's response that passes the hop tells about its service's brittleness; a limit that nobody has restated for 30 s ends at an instance without a share.

--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -97,6 +97,9 @@
   /// @brief After a restore of the store, entries that were removed before are
   /// not used for this time: those of ended upstreams expire within it.
   static constexpr Duration kRestoredEntryHold{ 5'000'000 };
+  /// @brief How long a limit counts at an instance without a share of it, which
+  /// hears of the limit and of its end only from others.
+  static constexpr Duration kUnheardLimitLifetime{ 30'000'000 };
   /// @brief How long an upstream that left is remembered; longer than it goes
   /// on serving.
   static constexpr Duration kDepartedMemory{ 60'000'000 };
--- a/src/hibiscusnotch/entry/brittle_upstream_test.cpp
+++ b/src/hibiscusnotch/entry/brittle_upstream_test.cpp
@@ -95,3 +95,29 @@
     CHECK(served.served / served.all >= 0.8 * due);
   }
 }
+
+// Guards against instances without slots that go on over the hop for good, as
+// they never hear that the upstreams are brittle no more.
+TEST_CASE("all instances send directly again once upstreams are not brittle")
+{
+  RouterFleet fleet({ 30, 2, 3, kSecond / 20, 4, 1 });
+  for (RouterFleet::Upstream& upstream : fleet.upstreams) {
+    upstream.brittle = 4;
+  }
+  RunLoad(fleet, 60, 2 * kSecond);
+  const auto forwards = [&fleet] {
+    uint64_t count = 0;
+    for (const auto& instance : fleet.instances) {
+      count += instance.router->ForwardCount();
+    }
+    return count;
+  };
+  CHECK(forwards() > 0);
+  for (RouterFleet::Upstream& upstream : fleet.upstreams) {
+    upstream.brittle.reset();
+  }
+  RunLoad(fleet, 60, 2 * kSecond);
+  const uint64_t before = forwards();
+  RunLoad(fleet, 60, 2 * kSecond);
+  CHECK(forwards() == before);
+}
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -628,6 +628,9 @@
     } else {
       attempt.metadata.notExecuted = IsRefusalOfPeer(attempt);
       attempt.metadata.wrongUpstream = false;
+      if (attempt.metadata.sealed) {
+        RecordBrittleness(attempt); // an instance without slots hears no other
+      }
     }
     if (!attempt.metadata.notExecuted && !attempt.metadata.wrongUpstream) {
       fleet_.upstreams.RecordAcceptance(attempt.upstream);
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -178,6 +178,11 @@
   });
   for (auto next = rows_.begin(); next != rows_.end();) {
     Upstream& upstream = next->second;
+    if (upstream.requestLimit && upstream.pacer.Rate() <= 0 &&
+        aNow - upstream.limitStatedAt > kUnheardLimitLifetime) {
+      upstream.requestLimit.reset();
+      ++limitChanges_;
+    }
     if (!upstream.removed && upstream.lapsedAt &&
         aNow - *upstream.lapsedAt >= kLapsedEntryGrace) {
       RecordDeparted(upstream, aNow);
--- a/src/hibiscusnotch/routing/upstream_table_test.cpp
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -197,3 +197,21 @@
   CHECK(table.Find(id)->heldUntil == TimePoint{});
   CHECK_FALSE(table.Find(id)->announcedLeaving);
 }
+
+// Guards against instances that pass an upstream over for good, as they missed
+// the reports of its limit's end and ask it nothing themselves.
+TEST_CASE("a limit that nobody restates ends at instances without a share")
+{
+  UpstreamTable table;
+  const UpstreamId without = table.Apply(MakeEntry("u"), kNow);
+  const UpstreamId holder = table.Apply(MakeEntry("v"), kNow);
+  for (const UpstreamId id : { without, holder }) {
+    table.RecordRequestLimit(id, 2, kNow, LimitSource::Peer);
+  }
+  table.SetSendRate(holder, 1, kNow);
+  table.Sweep(kNow + UpstreamTable::kUnheardLimitLifetime);
+  CHECK(table.Find(without)->requestLimit);
+  table.Sweep(kNow + UpstreamTable::kUnheardLimitLifetime + kSecond);
+  CHECK_FALSE(table.Find(without)->requestLimit);
+  CHECK(table.Find(holder)->requestLimit); // it asks by itself
+}
