Give the HTTP test an address of its own process

Two net_test processes started together fail in the same way, one of them, each time six cases. Now each process binds an address made of its process id: two plain and one sanitized run together pass. No check is changed.

--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <optional>
 #include <thread>
+#include <unistd.h>
 
 using namespace hibiscusnotch;
 using namespace hibiscusnotch::net;
@@ -17,7 +18,17 @@
 
 namespace {
 
-const core::Endpoint kEndpoint{ "127.77.0.2", 18200 };
+/// An address of this process's own, as the tests may run in several at once.
+std::string
+OwnAddress()
+{
+  constexpr int kLastByte = 250;
+  const int process = getpid();
+  return "127.77." + std::to_string(process / kLastByte % kLastByte) + '.' +
+         std::to_string(process % kLastByte + 2);
+}
+
+const core::Endpoint kEndpoint{ OwnAddress(), 18200 };
 
 /// A server that echoes bodies, streams on /stream and never responds to /hang.
 struct EchoServer
