Decode upstreams' memory, models' prices and the callers' output estimates

The parts for heavy load need what the configuration, the settings and the requests state already: an engine's memory in tokens, the price of each model, the contract on memory and slow readers, and the caller's estimate of the output.

--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -34,6 +34,7 @@
   std::string model;
   uint32_t promptTokens = 0;
   uint32_t maxOutputTokens = 0;
+  std::optional<uint32_t> outputTokensHint;  ///< The caller's estimate.
   std::vector<PromptSegment> promptSegments; ///< In prompt order.
   std::string resumeAfter; ///< Id of the last event that the caller received.
   std::string session;
--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -30,6 +30,9 @@
   /// requests per second on top.
   double coldRateFactor = 1.0;
   double coldRateSlack = 0;
+  /// @brief Upstreams end when their requests exceed their memory, and callers
+  /// may read slowly.
+  bool memoryPressure = false;
 };
 
 /// @brief Collaborators; all must outlive the router.
--- a/include/hibiscusnotch/routing/configuration.hpp
+++ b/include/hibiscusnotch/routing/configuration.hpp
@@ -59,6 +59,8 @@
 struct Engine
 {
   uint32_t slots = 1;
+  /// @brief Tokens that an upstream's memory holds; nothing if not stated.
+  std::optional<uint64_t> memoryTokens;
 };
 
 struct Service
@@ -67,6 +69,8 @@
   Duration coldStart{ 0 };
   double coldRequestsPerSecond = 0; ///< A cold upstream's limit.
   std::optional<Engine> engine;
+  /// @brief Prices per token by the model's name, where they are stated.
+  std::map<std::string, double, std::less<>> modelPrices;
 };
 
 struct Organisation
