--- /dev/null
+++ b/src/hibiscusnotch/entry/request_description.hpp
@@ -0,0 +1,27 @@
+/// @file
+/// @brief Text for the log lines of a request.
+#pragma once
+
+#include "exchange.hpp"
+#include "hibiscusnotch/entry/fleet_state.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace hibiscusnotch::entry {
+
+std::string
+FormatMilliseconds(Duration aDuration);
+
+/// @brief The request, its age, its attempts and its current upstream.
+std::string
+DescribeExchange(const Exchange& aExchange, TimePoint aNow);
+
+/// @brief The version and age of the configuration, after a space.
+std::string
+DescribeConfiguration(const FleetState& aFleet, TimePoint aNow);
+
+std::string_view
+OutcomeName(relay::CallOutcome aOutcome);
+
+} // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -1,11 +1,15 @@
 #include "hibiscusnotch/entry/request_router.hpp"
 
 #include "attempt_planner.hpp"
+#include "attempt_recorder.hpp"
 #include "exchange.hpp"
 #include "forward_planner.hpp"
-#include "hibiscusnotch/core/rendezvous.hpp"
 #include "hibiscusnotch/entry/uplink_guard.hpp"
-#include "hibiscusnotch/routing/crash_attribution.hpp"
+#include "request_admission.hpp"
+#include "request_description.hpp"
+#include "request_traits.hpp"
+#include "response_check.hpp"
+#include "response_writer.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -23,17 +27,11 @@
 using relay::CallOutcome;
 using routing::ExecutionSemantics;
 
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-// Responses are sent this long before the caller's or the route's timeout.
-constexpr Duration kDeadlineMargin{ 40'000 };
-// No upstream can answer in less time.
-constexpr Duration kMinRemainingTime{ 30'000 };
 // Interval at which a waiting request looks for an upstream.
 constexpr Duration kWaitPollInterval{ 40'000 };
 // How long a request waits for the first configuration; a start takes less.
@@ -46,16 +44,9 @@
 // How long a broken stream waits for another upstream: callers disconnect after
 // a gap of two seconds.
 constexpr Duration kMaxResumeWait{ 1'500'000 };
-constexpr Duration kRetryAfterBusy{ 500'000 }; // about one request's duration
-// A store outage takes seconds; callers with little time retry sooner.
-constexpr Duration kRetryAfterStale{ 2'000'000 };
-constexpr int kRetryAfterDivisor = 4; // of the caller's remaining time
 constexpr Duration kRetryAfterElsewhere{ 50'000 }; // another one serves it
 // Keeps requests that crash upstreams away for a while.
 constexpr Duration kRetryAfterQuarantine{ 10'000'000 };
-// A process that ends closes its connections a moment before its listener.
-constexpr Duration kCrashProbeDelay{ 50'000 };
-constexpr Duration kCrashProbeTimeout{ 250'000 }; // many round trips
 // Sends beyond the route's attempts, as refused sends are not executions.
 constexpr uint32_t kMaxExtraSends = 3;
 // Responses that are not streams are buffered up to this size.
@@ -77,62 +68,6 @@
 // No upstream usually responds in less time.
 constexpr Duration kMinAttemptTimeout{ 200'000 };
 
-std::string
-FormatMilliseconds(Duration aDuration)
-{
-  return std::to_string(aDuration.count() / 1000);
-}
-
-/// What the request may have in common with others that crash upstreams. The
-/// last part of a prompt belongs to the request alone.
-std::vector<routing::RequestTrait>
-TraitsOf(const net::HttpRequest& aRequest, const RequestMetadata& aMetadata)
-{
-  std::vector<routing::RequestTrait> traits;
-  for (const PromptSegment& segment : aMetadata.promptSegments) {
-    traits.push_back({ core::StableHash(segment.id),
-                       static_cast<uint32_t>(traits.size() + 1) });
-  }
-  if (!traits.empty()) {
-    traits.pop_back();
-  }
-  const uint64_t whole =
-    core::MixHash(core::StableHash(aRequest.target),
-                  core::MixHash(core::StableHash(aMetadata.apiKey),
-                                core::StableHash(aRequest.body)));
-  traits.push_back({ whole, routing::RequestTrait::kWholeRequest });
-  return traits;
-}
-
-std::string
-FormatPromptParts(std::span<const routing::RequestTrait> aTraits)
-{
-  std::string text;
-  for (const routing::RequestTrait& trait : aTraits) {
-    if (trait.specificity != routing::RequestTrait::kWholeRequest) {
-      text += (text.empty() ? "" : ",") + FormatHash(trait.hash);
-    }
-  }
-  return text;
-}
-
-std::string_view
-ReasonPhrase(int aStatus)
-{
-  switch (aStatus) {
-    case kUnauthorized:
-      return "Unauthorized";
-    case kNotFound:
-      return "Not Found";
-    case kBadGateway:
-      return "Bad Gateway";
-    case kGatewayTimeout:
-      return "Gateway Timeout";
-    default:
-      return "Service Unavailable";
-  }
-}
-
 class Router : public RequestRouter
 {
 public:
@@ -143,16 +78,17 @@
     , headerCodec_(aDependencies.headerCodec)
     , fleet_(aDependencies.fleet)
     , log_(aDependencies.log)
-    , metrics_(aDependencies.metrics)
     , planner_(options_, fleet_, timers_)
     , guard_(timers_, client_, fleet_, log_)
+    , recorder_(timers_, client_, guard_, fleet_, log_)
+    , responses_(aDependencies)
     , forwards_(options_.instanceName, options_.zone, fleet_)
   {
   }
 
   void SetListener(RequestOrigin aOrigin, relay::Listener& aListener) override
   {
-    listeners_[aOrigin] = &aListener;
+    responses_.SetListener(aOrigin, aListener);
   }
 
   void OnRequest(RequestOrigin aOrigin,
@@ -212,14 +148,13 @@
 
   bool KeysAreFresh() const override
   {
-    return !options_.enforceKeyRevocation ||
-           timers_.Now() - fleet_.configurationConfirmedAt < options_.maxKeyAge;
+    return entry::KeysAreFresh(options_, fleet_, timers_.Now());
   }
 
 private:
-  relay::Listener& ListenerOf(const ExchangeKey& aKey) const
+  std::string Describe(const Exchange& aExchange) const
   {
-    return *listeners_.at(aKey.origin);
+    return DescribeExchange(aExchange, timers_.Now());
   }
 
   /// Admits and dispatches a new request.
@@ -238,60 +173,19 @@
     Dispatch(aExchange);
   }
 
-  std::string Describe(const Exchange& aExchange) const
-  {
-    std::string text = "request=" + aExchange.metadata.requestId +
-                       " route=" + aExchange.route.name + " age_ms=" +
-                       FormatMilliseconds(timers_.Now() - aExchange.arrivedAt) +
-                       " runs=" + std::to_string(aExchange.executions) +
-                       " sends=" + std::to_string(aExchange.sends);
-    if (aExchange.attempt) {
-      text += " upstream=" + aExchange.attempt->upstreamName;
-    }
-    return text;
-  }
-
-  std::string ConfigurationAge() const
-  {
-    if (!fleet_.configuration) {
-      return " config=none";
-    }
-    return " config=" + std::to_string(fleet_.configuration->version) +
-           " config_age_ms=" +
-           FormatMilliseconds(timers_.Now() - fleet_.configurationConfirmedAt);
-  }
-
-  /// Finds route and organisation in the latest configuration. Refuses the
-  /// request and returns false if it may not be served.
+  /// Refuses the request and returns false if it may not be served.
   bool Admit(Exchange& aExchange)
   {
-    const auto& configuration = fleet_.configuration;
-    if (!configuration) {
+    if (!fleet_.configuration) {
       WaitForConfiguration(aExchange);
       return false;
     }
-    const routing::Route* route = configuration->FindRoute(
-      aExchange.metadata.host, aExchange.metadata.path);
-    if (!route) {
-      RefuseUnknown(aExchange, kNotFound, Reason::UnknownRoute);
-      return false;
+    const auto refusal =
+      AdmitExchange(aExchange, options_, fleet_, timers_.Now());
+    if (refusal) {
+      Refuse(aExchange, refusal->status, refusal->reason, refusal->retryAfter);
     }
-    aExchange.route = *route;
-    aExchange.priority = route->priority;
-    if (!route->authExempt && !configuration->organisations.empty() &&
-        !AdmitByKey(aExchange)) {
-      return false;
-    }
-    aExchange.deadline =
-      aExchange.arrivedAt +
-      std::min(route->timeout,
-               aExchange.metadata.timeLeft.value_or(route->timeout)) -
-      kDeadlineMargin;
-    if (aExchange.deadline - timers_.Now() < kMinRemainingTime) {
-      Refuse(aExchange, kUnavailable, Reason::DeadlinePassed, kRetryAfterBusy);
-      return false;
-    }
-    return true;
+    return !refusal;
   }
 
   /// An instance that has just started gets its configuration shortly.
@@ -311,46 +205,6 @@
     });
   }
 
-  bool AdmitByKey(Exchange& aExchange)
-  {
-    const routing::Organisation* organisation =
-      fleet_.configuration->FindOrganisation(aExchange.metadata.apiKey);
-    if (!KeysAreFresh()) {
-      Refuse(aExchange,
-             kUnavailable,
-             Reason::KeysTooOld,
-             StaleRetryAfter(aExchange));
-      return false;
-    }
-    if (!organisation) {
-      RefuseUnknown(aExchange, kUnauthorized, Reason::UnknownKey);
-      return false;
-    }
-    aExchange.organisation = organisation->name;
-    aExchange.priority = organisation->priority.value_or(aExchange.priority);
-    return true;
-  }
-
-  /// Denies a request only if the configuration is confirmed to be current.
-  void RefuseUnknown(Exchange& aExchange, int aStatus, Reason aReason)
-  {
-    if (KeysAreFresh()) {
-      Refuse(aExchange, aStatus, aReason, Duration::zero());
-    } else {
-      Refuse(aExchange,
-             kUnavailable,
-             Reason::KeysTooOld,
-             StaleRetryAfter(aExchange));
-    }
-  }
-
-  static Duration StaleRetryAfter(const Exchange& aExchange)
-  {
-    return std::min(kRetryAfterStale,
-                    aExchange.metadata.timeLeft.value_or(kRetryAfterStale) /
-                      kRetryAfterDivisor);
-  }
-
   /// Sends the request to an upstream or waits for one.
   void Dispatch(Exchange& aExchange)
   {
@@ -574,7 +428,7 @@
                     ? " limit=" + FormatRate(*upstream.requestLimit) +
                         " own_rate=" + FormatRate(upstream.pacer.Rate())
                     : "") +
-                 ConfigurationAge());
+                 DescribeConfiguration(fleet_, now));
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
@@ -597,7 +451,7 @@
     Exchange& exchange = found->second;
     exchange.attemptTimer = 0;
     const Attempt attempt = *exchange.attempt;
-    BlameUpstream(exchange, attempt);
+    recorder_.BlameUpstream(exchange, attempt);
     Reason reason = Reason::NoUpstream;
     if (exchange.executions + 1 >= exchange.route.maxAttempts ||
         !planner_.ChooseUpstream(exchange, exchange.modelIndex, reason) ||
@@ -624,12 +478,13 @@
     attempt.head = aHead;
     attempt.metadata = headerCodec_.ReadResponse(aHead);
     if (attempt.peer.empty()) {
-      RecordUpstreamState(attempt);
+      recorder_.RecordUpstreamState(attempt);
     } else {
       attempt.metadata.notExecuted = IsRefusalOfPeer(attempt);
       attempt.metadata.wrongUpstream = false;
       if (attempt.metadata.sealed) {
-        RecordBrittleness(attempt); // an instance without slots hears no other
+        // An instance without slots hears of it in no other way.
+        recorder_.RecordBrittleness(attempt);
       }
     }
     if (!attempt.metadata.notExecuted && !attempt.metadata.wrongUpstream) {
@@ -640,9 +495,9 @@
     if (!IsValidSuccess(exchange, attempt)) {
       return; // handled once the response is complete
     }
-    MarkPromptRead(attempt);
+    recorder_.MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
-      RecordSuccess(exchange, attempt);
+      recorder_.RecordSuccess(exchange, attempt);
       if (!exchange.responseStarted && attempt.peer.empty() &&
           Escalate(exchange)) {
         return;
@@ -652,159 +507,6 @@
     }
   }
 
-  /// True if an instance answered itself that the request has not run.
-  static bool IsRefusalOfPeer(const Attempt& aAttempt)
-  {
-    const int status = aAttempt.head->status;
-    return !aAttempt.metadata.sealed && status / 100 != 2 &&
-           status != kBadGateway && status != kGatewayTimeout;
-  }
-
-  void RecordUpstreamState(const Attempt& aAttempt)
-  {
-    const TimePoint now = timers_.Now();
-    guard_.RecordReached(aAttempt.sentAt);
-    fleet_.upstreams.RecordReachable(aAttempt.upstream, aAttempt.sentAt);
-    RecordUpstreamSignals(aAttempt, now);
-    if (aAttempt.metadata.load) {
-      fleet_.upstreams.RecordReportedLoad(
-        aAttempt.upstream, *aAttempt.metadata.load, now);
-    }
-  }
-
-  /// Records that the upstream is leaving, or wants no requests for a while.
-  void RecordUpstreamSignals(const Attempt& aAttempt, TimePoint aNow)
-  {
-    if (aAttempt.metadata.wrongUpstream) {
-      return; // another upstream's response
-    }
-    const routing::Upstream* upstream =
-      fleet_.upstreams.Find(aAttempt.upstream);
-    if (aAttempt.metadata.leaving && upstream && !upstream->announcedLeaving) {
-      fleet_.upstreams.RecordLeaving(aAttempt.upstream, aNow);
-      log_.Write(EventNumber::UpstreamLeaving,
-                 "upstream=" + aAttempt.upstreamName);
-    }
-    RecordRequestLimit(aAttempt, aNow);
-    RecordBrittleness(aAttempt);
-    if (aAttempt.metadata.backoff) {
-      fleet_.upstreams.RecordBackoff(aAttempt.upstream,
-                                     aNow + *aAttempt.metadata.backoff);
-      log_.Write(EventNumber::UpstreamBackoff,
-                 "upstream=" + aAttempt.upstreamName +
-                   " for_ms=" + FormatMilliseconds(*aAttempt.metadata.backoff));
-    }
-  }
-
-  /// Upstreams of a service are brittle together.
-  void RecordBrittleness(const Attempt& aAttempt)
-  {
-    const auto& rejections = aAttempt.metadata.bearableRejections;
-    if (!rejections && aAttempt.metadata.requestId.empty()) {
-      return; // not known to be the upstream's own response
-    }
-    const bool changed =
-      rejections ? fleet_.brittleServices.insert(aAttempt.service).second
-                 : fleet_.brittleServices.erase(aAttempt.service) > 0;
-    if (changed) {
-      log_.Write(EventNumber::ServiceBrittle,
-                 "service=" + aAttempt.service + " rejections=" +
-                   (rejections ? FormatRate(*rejections) : "any") +
-                   " upstream=" + aAttempt.upstreamName);
-    }
-  }
-
-  void RecordRequestLimit(const Attempt& aAttempt, TimePoint aNow)
-  {
-    if (aAttempt.metadata.requestLimitUnreadable) {
-      log_.Write(EventNumber::UpstreamLimitUnreadable,
-                 "upstream=" + aAttempt.upstreamName);
-      return;
-    }
-    const auto& limit = aAttempt.metadata.requestLimit;
-    if (!limit && aAttempt.metadata.requestId.empty()) {
-      return; // not known to be the upstream's own response
-    }
-    if (fleet_.upstreams.RecordRequestLimit(aAttempt.upstream, limit, aNow)) {
-      LogLimit(*fleet_.upstreams.Find(aAttempt.upstream), "response", log_);
-    }
-  }
-
-  /// True for a success that is proven to be the upstream's response to this
-  /// request.
-  bool IsValidSuccess(const Exchange& aExchange, const Attempt& aAttempt) const
-  {
-    const int status = aAttempt.head->status;
-    return status / 100 == 2 && aAttempt.metadata.sealed &&
-           aAttempt.metadata.requestId == aExchange.metadata.requestId &&
-           net::FindHeader(aAttempt.head->headers, "Content-Encoding").empty();
-  }
-
-  void MarkPromptRead(Attempt& aAttempt)
-  {
-    if (aAttempt.promptUnread) {
-      aAttempt.promptUnread = false;
-      fleet_.upstreams.RecordFirstOutput(aAttempt.upstream,
-                                         aAttempt.promptTokens);
-    }
-  }
-
-  void RecordSuccess(const Exchange& aExchange, const Attempt& aAttempt)
-  {
-    if (aAttempt.peer.empty()) {
-      fleet_.upstreams.RecordOutcome(aAttempt.upstream, true);
-      RecordForRollout(ResultOf(aExchange, aAttempt), true);
-    }
-  }
-
-  struct AttemptResult
-  {
-    std::string service;
-    std::string softwareVersion;
-    std::string route;
-    std::string model;
-    Duration took{ 0 };
-  };
-
-  AttemptResult ResultOf(const Exchange& aExchange,
-                         const Attempt& aAttempt) const
-  {
-    return { aAttempt.service,
-             aAttempt.softwareVersion,
-             aExchange.route.name,
-             aAttempt.model,
-             timers_.Now() - aAttempt.sentAt };
-  }
-
-  void RecordForRollout(const AttemptResult& aResult, bool aGood)
-  {
-    fleet_.rollouts.RecordAnswer(aResult.service,
-                                 aResult.softwareVersion,
-                                 aResult.route,
-                                 aResult.route + '/' + aResult.model,
-                                 aGood,
-                                 aResult.took,
-                                 timers_.Now());
-  }
-
-  /// Counts a failure without a response against the upstream and its version,
-  /// unless this instance's own links turn out to be the cause.
-  void BlameUpstream(const Exchange& aExchange, const Attempt& aAttempt)
-  {
-    if (!aAttempt.peer.empty()) {
-      return;
-    }
-    guard_.ExplainFailure(
-      [this,
-       upstream = aAttempt.upstream,
-       result = ResultOf(aExchange, aAttempt)](bool aCutOff) {
-        if (!aCutOff) {
-          fleet_.upstreams.RecordOutcome(upstream, false);
-          RecordForRollout(result, false);
-        }
-      });
-  }
-
   /// Discards a low-confidence answer and runs a larger model.
   bool Escalate(Exchange& aExchange)
   {
@@ -899,39 +601,16 @@
   void ForwardEvents(Exchange& aExchange, const std::string& aEvents)
   {
     StartResponse(aExchange);
-    ListenerOf(aExchange.key).Write(aExchange.key.id, aEvents);
+    responses_.ListenerOf(aExchange.key).Write(aExchange.key.id, aEvents);
     const auto still = exchanges_.find(aExchange.key);
     if (still != exchanges_.end() && still->second.attempt &&
-        ListenerOf(still->first).UnsentBytes(still->first.id) >
+        responses_.ListenerOf(still->first).UnsentBytes(still->first.id) >
           kMaxUnsentBytes) {
       still->second.paused = true;
       client_.SetPaused(still->second.attempt->call, true);
     }
   }
 
-  void StartResponse(Exchange& aExchange)
-  {
-    if (aExchange.responseStarted) {
-      return;
-    }
-    aExchange.responseStarted = true;
-    const relay::ResponseHead& head = *aExchange.attempt->head;
-    metrics_.Observe(observe::LatencyMetric::TimeToFirstToken,
-                     LabelsOf(aExchange),
-                     timers_.Now() - aExchange.arrivedAt);
-    ListenerOf(aExchange.key)
-      .Start(aExchange.key.id,
-             head.status,
-             head.reason,
-             headerCodec_.ResponseHeaders(head),
-             relay::Framing::Chunked);
-  }
-
-  static observe::MetricLabels LabelsOf(const Exchange& aExchange)
-  {
-    return { aExchange.organisation, aExchange.route.name };
-  }
-
   /// Releases the attempt's load and closes its connection.
   void EndAttempt(Exchange& aExchange)
   {
@@ -941,7 +620,7 @@
     timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
     bufferedBytes_ -= attempt.body.size();
-    MarkPromptRead(attempt);
+    recorder_.MarkPromptRead(attempt);
     if (attempt.peer.empty()) {
       planner_.RecordSessionVersion(aExchange, attempt);
     }
@@ -962,7 +641,7 @@
     const Attempt attempt = *exchange.attempt;
     log_.Write(
       EventNumber::AttemptEnded,
-      Describe(exchange) + " end=" + OutcomeName(aOutcome) +
+      Describe(exchange) + " end=" + std::string(OutcomeName(aOutcome)) +
         " status=" + std::to_string(attempt.head ? attempt.head->status : 0) +
         " took_ms=" + FormatMilliseconds(timers_.Now() - attempt.sentAt) +
         (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"') +
@@ -985,32 +664,6 @@
     }
   }
 
-  static std::string OutcomeName(CallOutcome aOutcome)
-  {
-    switch (aOutcome) {
-      case CallOutcome::Complete:
-        return "complete";
-      case CallOutcome::NotSent:
-        return "not_sent";
-      case CallOutcome::ConnectionLost:
-        return "broken";
-    }
-    return "broken";
-  }
-
-  void MarkSuspect(const Attempt& aAttempt)
-  {
-    const routing::Service* service =
-      fleet_.configuration ? fleet_.configuration->FindService(aAttempt.service)
-                           : nullptr;
-    fleet_.upstreams.RecordUnreachable(aAttempt.upstream,
-                                       service ? service->coldStart
-                                               : Duration::zero(),
-                                       timers_.Now());
-    log_.Write(EventNumber::UpstreamSuspected,
-               "upstream=" + aAttempt.upstreamName);
-  }
-
   void OnNotSent(Exchange& aExchange, const Attempt& aAttempt)
   {
     if (!aAttempt.peer.empty()) {
@@ -1020,7 +673,7 @@
     }
     guard_.RecordFailure(aAttempt.upstream, aAttempt.sentAt);
     if (!guard_.IsCutOff()) {
-      MarkSuspect(aAttempt);
+      recorder_.MarkSuspect(aAttempt);
     }
     Retry(aExchange, Reason::UpstreamSuspect, false);
   }
@@ -1036,56 +689,13 @@
       forwards_.Avoid(aAttempt.peer, timers_.Now());
     } else {
       guard_.RecordFailure(aAttempt.upstream, timers_.Now());
-      BlameUpstream(aExchange, aAttempt);
-      RecordLostAttempt(aExchange, aAttempt);
+      recorder_.BlameUpstream(aExchange, aAttempt);
+      recorder_.RecordLostAttempt(aExchange, aAttempt);
     }
     aExchange.events.DropPartialEvent();
     Retry(aExchange, Reason::AttemptLost, true);
   }
 
-  /// Finds out by a new connection whether the upstream has crashed.
-  void RecordLostAttempt(Exchange& aExchange, const Attempt& aAttempt)
-  {
-    const UpstreamId id = aAttempt.upstream;
-    const routing::Upstream* upstream = fleet_.upstreams.Find(id);
-    if (!upstream || upstream->announcedLeaving || upstream->removed) {
-      return; // it has ended as announced
-    }
-    const bool isRepeated = std::exchange(aExchange.hasLostUpstream, true);
-    if (!crashAttribution_.RecordLostAttempt(
-          id, aExchange.traits, isRepeated, timers_.Now())) {
-      return; // the probe is under way
-    }
-    timers_.After(kCrashProbeDelay, [this, id, entry = upstream->entry] {
-      client_.Probe(entry.endpoint,
-                    kCrashProbeTimeout,
-                    [this, id, entry](relay::Reachability aReachability) {
-                      OnCrashProbe(id, entry, aReachability);
-                    });
-    });
-  }
-
-  void OnCrashProbe(UpstreamId aId,
-                    const routing::UpstreamEntry& aEntry,
-                    relay::Reachability aReachability)
-  {
-    const auto suspects = crashAttribution_.TakeSuspects(aId, timers_.Now());
-    if (aReachability != relay::Reachability::Refuses || suspects.empty()) {
-      return;
-    }
-    guard_.ExplainFailure([this, aEntry, suspects](bool aCutOff) {
-      if (aCutOff) {
-        return;
-      }
-      log_.Write(EventNumber::UpstreamCrashed,
-                 "upstream=" + aEntry.name +
-                   " suspects=" + std::to_string(suspects.size()));
-      fleet_.crashEvidence.RecordCrash(
-        IncarnationHash(aEntry), suspects, timers_.Now());
-      LogQuarantineChanges(fleet_.crashEvidence, log_);
-    });
-  }
-
   void OnComplete(Exchange& aExchange, const Attempt& aAttempt)
   {
     if (aAttempt.accepted) {
@@ -1112,10 +722,9 @@
     }
     const bool valid = IsValidSuccess(aExchange, aAttempt);
     const bool good = valid || (status < kServerError && status / 100 != 2);
-    fleet_.upstreams.RecordOutcome(aAttempt.upstream, good);
-    RecordForRollout(ResultOf(aExchange, aAttempt), good);
+    recorder_.RecordResult(aExchange, aAttempt, good);
     if (valid || (good && aAttempt.metadata.sealed)) {
-      RecordCompletion(aExchange);
+      recorder_.RecordCompletion(aExchange);
       SendResponse(aExchange, *aAttempt.head, aAttempt.body);
       return;
     }
@@ -1140,33 +749,18 @@
       return;
     }
     if (IsValidSuccess(aExchange, aAttempt)) {
-      RecordCompletion(aExchange);
+      recorder_.RecordCompletion(aExchange);
     }
     SendResponse(aExchange, *aAttempt.head, aAttempt.body);
   }
 
-  void RecordCompletion(const Exchange& aExchange)
-  {
-    fleet_.crashEvidence.RecordCompletion(aExchange.traits, timers_.Now());
-    LogQuarantineChanges(fleet_.crashEvidence, log_);
-  }
-
-  /// True if the stream's end is that of its upstream: within an event, or with
-  /// its connection before any event.
-  static bool IsTruncated(const Exchange& aExchange, const Attempt& aAttempt)
-  {
-    return aExchange.events.HasPartialEvent() ||
-           (!aAttempt.head->isSelfDelimited &&
-            aExchange.events.EventCount() == aAttempt.eventsBefore);
-  }
-
   void FinishStream(Exchange& aExchange, const Attempt& aAttempt)
   {
     if (IsTruncated(aExchange, aAttempt)) {
       OnConnectionLost(aExchange, aAttempt);
       return;
     }
-    RecordCompletion(aExchange);
+    recorder_.RecordCompletion(aExchange);
     if (!aExchange.responseStarted) {
       aExchange.attempt = aAttempt;
       StartResponse(aExchange);
@@ -1248,19 +842,19 @@
            sent ? Duration::zero() : kRetryAfterBusy);
   }
 
+  void StartResponse(Exchange& aExchange)
+  {
+    if (!std::exchange(aExchange.responseStarted, true)) {
+      responses_.StartStream(aExchange);
+    }
+  }
+
   void SendResponse(Exchange& aExchange,
                     const relay::ResponseHead& aHead,
                     const std::string& aBody)
   {
-    net::Headers headers = headerCodec_.ResponseHeaders(aHead);
-    headers.emplace_back("Content-Length", std::to_string(aBody.size()));
     const ExchangeKey key = aExchange.key;
-    ListenerOf(key).Start(
-      key.id, aHead.status, aHead.reason, headers, relay::Framing::Length);
-    metrics_.Observe(observe::LatencyMetric::TimeToFirstToken,
-                     LabelsOf(aExchange),
-                     timers_.Now() - aExchange.arrivedAt);
-    ListenerOf(key).Write(key.id, aBody);
+    responses_.WriteWhole(aExchange, aHead, aBody);
     const auto still = exchanges_.find(key);
     if (still != exchanges_.end()) {
       FinishResponse(still->second);
@@ -1270,15 +864,9 @@
   void FinishResponse(Exchange& aExchange)
   {
     const ExchangeKey key = aExchange.key;
-    metrics_.Observe(observe::LatencyMetric::ResponseDuration,
-                     LabelsOf(aExchange),
-                     timers_.Now() - aExchange.arrivedAt);
-    metrics_.CountAnswer(LabelsOf(aExchange), aExchange.lastVersion);
-    log_.Write(EventNumber::RequestAnswered,
-               Describe(aExchange) + " model=" + aExchange.lastModel +
-                 " events=" + std::to_string(aExchange.events.EventCount()));
+    responses_.RecordAnswer(aExchange);
     Remove(aExchange);
-    ListenerOf(key).Finish(key.id);
+    responses_.ListenerOf(key).Finish(key.id);
   }
 
   void Refuse(Exchange& aExchange,
@@ -1286,47 +874,19 @@
               Reason aReason,
               Duration aRetryAfter)
   {
-    const ExchangeKey key = aExchange.key;
-    if (aExchange.mayHaveExecuted && aStatus != kGatewayTimeout) {
-      aStatus = kBadGateway; // other codes promise that nothing was executed
-    }
-    const core::Verdict verdict =
-      aStatus == kBadGateway || aStatus == kGatewayTimeout
-        ? core::Verdict::MayHaveRun
-        : core::Verdict::NotRun;
-    metrics_.CountRefusal(LabelsOf(aExchange),
-                          { verdict, aReason, aRetryAfter });
-    log_.Write(EventNumber::RequestRefused,
-               Describe(aExchange) + " status=" + std::to_string(aStatus) +
-                 " reason=" + std::string(core::ToString(aReason)) +
-                 " verdict=" + std::string(core::ToString(verdict)) +
-                 ConfigurationAge());
-    net::Headers headers =
-      headerCodec_.LocalReplyHeaders(aExchange.metadata, aRetryAfter);
-    const std::string body =
-      "{\"error\":\"" + std::string(core::ToString(aReason)) +
-      "\",\"execution\":\"" + std::string(core::ToString(verdict)) + "\"}";
-    headers.emplace_back("Content-Type", "application/json");
-    headers.emplace_back("Content-Length", std::to_string(body.size()));
+    const auto reply =
+      responses_.MakeRefusal(aExchange, { aStatus, aReason, aRetryAfter });
     Remove(aExchange);
-    ListenerOf(key).Start(
-      key.id, aStatus, ReasonPhrase(aStatus), headers, relay::Framing::Length);
-    ListenerOf(key).Write(key.id, body);
-    ListenerOf(key).Finish(key.id);
+    responses_.Write(reply);
   }
 
   /// Aborts a started response that cannot be completed.
   void AbortResponse(Exchange& aExchange, Reason aReason)
   {
     const ExchangeKey key = aExchange.key;
-    log_.Write(EventNumber::AnswerBroken,
-               Describe(aExchange) +
-                 " reason=" + std::string(core::ToString(aReason)) +
-                 " events=" + std::to_string(aExchange.events.EventCount()));
-    metrics_.CountRefusal(LabelsOf(aExchange),
-                          { core::Verdict::Ran, aReason, Duration::zero() });
+    responses_.RecordAbort(aExchange, aReason);
     Remove(aExchange);
-    ListenerOf(key).Abort(key.id);
+    responses_.ListenerOf(key).Abort(key.id);
   }
 
   void Remove(Exchange& aExchange)
@@ -1343,14 +903,13 @@
   const HeaderCodec& headerCodec_;
   FleetState& fleet_;
   EventLog& log_;
-  observe::Metrics& metrics_;
   AttemptPlanner planner_;
   UplinkGuard guard_;
+  AttemptRecorder recorder_;
+  ResponseWriter responses_;
   ForwardPlanner forwards_;
-  std::map<RequestOrigin, relay::Listener*> listeners_;
   std::map<ExchangeKey, Exchange> exchanges_;
   std::map<std::string, routing::RetryBudget> retryBudgets_;
-  routing::CrashAttribution crashAttribution_;
   std::size_t bufferedBytes_ = 0; ///< Of response bodies.
   uint64_t forwardCount_ = 0;
   bool shuttingDown_ = false;
