Choose models by the expected value of an answer, and ration escalations

Change: where the configuration states prices, an answer is escalated if the larger run's expected value, less its price, the crowding and the scarcity of retries, exceeds that of keeping it. Crowding is the share of the latency target that response heads need now, or that awaited heads have waited. Prompts for which two runs do not fit start with the largest model. Without prices the former thresholds hold. E700 states the prompt's tokens, E702 confidence and time to the first event.

--- a/include/hibiscusnotch/routing/retry_budget.hpp
+++ b/include/hibiscusnotch/routing/retry_budget.hpp
@@ -32,6 +32,10 @@
                   std::size_t aInstances,
                   double aShare,
                   core::TimePoint aNow);
+  /// @brief Fraction of the budget that is used, 0 to 1.
+  double Used(const RetryBudgetLimits& aLimits,
+              std::size_t aInstances,
+              core::TimePoint aNow) const;
 
 private:
   static constexpr std::size_t kBuckets = 20;
@@ -42,7 +46,17 @@
     uint32_t retries = 0;
   };
 
+  /// Retries so far in the window, and how many are allowed in it.
+  struct Usage
+  {
+    double retries = 0;
+    double allowed = 0;
+  };
+
   Bucket& BucketAt(core::TimePoint aNow);
+  Usage UsageAt(const RetryBudgetLimits& aLimits,
+                std::size_t aInstances,
+                core::TimePoint aNow) const;
 
   std::array<Bucket, kBuckets> buckets_{};
 };
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -72,8 +72,10 @@
   uint32_t sends = 0;              ///< Including refused ones.
   bool mayHaveExecuted = false;
   bool responseStarted = false; ///< The caller has part of a response.
+  TimePoint startedAt{};        ///< When it got the first part.
   bool paused = false;
   std::size_t modelIndex = 0; ///< Index into the route's models.
+  bool isEscalated = false;   ///< A smaller model's answer was discarded.
   std::vector<core::UpstreamId> tried;
   std::vector<std::string> triedPeers; ///< Instances that it went through.
   std::optional<Attempt> attempt;
@@ -83,6 +85,7 @@
   bool hasLostUpstream = false;              ///< An attempt was broken off.
   bool isTrial = false; ///< Sent although a trait is quarantined.
   std::string lastModel;
+  std::optional<int> lastConfidence; ///< Of the forwarded answer.
   std::string lastVersion;
 };
 
--- /dev/null
+++ b/src/hibiscusnotch/entry/model_chooser.cpp
@@ -0,0 +1,147 @@
+#include "model_chooser.hpp"
+
+#include <algorithm>
+
+namespace hibiscusnotch::entry {
+
+ModelChooser::ModelChooser(const RouterOptions& aOptions,
+                           const FleetState& aFleet,
+                           const AttemptPlanner& aPlanner,
+                           const relay::Timers& aTimers)
+  : options_(aOptions)
+  , fleet_(aFleet)
+  , planner_(aPlanner)
+  , timers_(aTimers)
+{
+}
+
+std::vector<double>
+ModelChooser::PricesOf(const Exchange& aExchange) const
+{
+  const routing::Service* service =
+    fleet_.configuration
+      ? fleet_.configuration->FindService(planner_.ChooseService(aExchange))
+      : nullptr;
+  std::vector<double> prices;
+  for (const std::string& model : aExchange.route.models) {
+    if (!service || !service->modelPrices.contains(model)) {
+      return {};
+    }
+    prices.push_back(service->modelPrices.find(model)->second);
+  }
+  return prices;
+}
+
+routing::CascadeView
+ModelChooser::ViewOf(const Exchange& aExchange,
+                     const std::vector<double>& aPrices) const
+{
+  routing::CascadeView view;
+  view.prices = aPrices;
+  view.priority = aExchange.priority;
+  view.elapsed = timers_.Now() - aExchange.arrivedAt;
+  view.latencyTarget = aExchange.route.latencyTarget;
+  const auto timing = timings_.find(aExchange.route.name);
+  if (timing != timings_.end()) {
+    const routing::ModelTiming& seen = timing->second;
+    const double tokens = aExchange.metadata.promptTokens;
+    view.smallestRun = seen.ExpectedHead(0, tokens);
+    view.largestRun =
+      seen.ExpectedHead(aExchange.route.models.size() - 1, tokens);
+    view.escalatedShare = seen.EscalatedShare();
+    view.largestSufficiency = seen.LargestSufficiency();
+    if (view.latencyTarget > Duration::zero()) {
+      // Heads that do not come show a shortage before late ones do.
+      const Duration firstHead =
+        std::max(seen.MeanFirstHead(), awaited_.MeanAge(timers_.Now()));
+      view.crowding =
+        core::Seconds(firstHead) / core::Seconds(view.latencyTarget);
+    }
+  }
+  return view;
+}
+
+std::size_t
+ModelChooser::FirstModel(const Exchange& aExchange) const
+{
+  const std::size_t count = aExchange.route.models.size();
+  if (count < 2) {
+    return 0;
+  }
+  const std::vector<double> prices = PricesOf(aExchange);
+  return routing::FirstModel(
+    options_.modelCascade, count, ViewOf(aExchange, prices));
+}
+
+std::optional<ModelChooser::Escalation>
+ModelChooser::NextModel(const Exchange& aExchange,
+                        double aRetryBudgetUsed) const
+{
+  const std::size_t count = aExchange.route.models.size();
+  const Attempt& attempt = *aExchange.attempt;
+  if (aExchange.modelIndex + 1 >= count) {
+    return std::nullopt;
+  }
+  const std::vector<double> prices = PricesOf(aExchange);
+  routing::CascadeView view = ViewOf(aExchange, prices);
+  view.retryBudgetUsed = aRetryBudgetUsed;
+  if (prices.empty()) {
+    view.load = planner_.ServiceLoad(attempt.service);
+  }
+  const auto next = routing::NextModel(options_.modelCascade,
+                                       count,
+                                       aExchange.modelIndex,
+                                       attempt.metadata.confidence,
+                                       view);
+  if (!next) {
+    return std::nullopt;
+  }
+  return Escalation{ *next,
+                     routing::MinConfidence(options_.modelCascade, view),
+                     prices.empty() ? view.load : view.crowding };
+}
+
+void
+ModelChooser::RecordSend(const Attempt& aAttempt)
+{
+  if (!aAttempt.model.empty()) {
+    awaited_.Add(aAttempt.sentAt);
+  }
+}
+
+void
+ModelChooser::RecordRead(const Attempt& aAttempt)
+{
+  if (!aAttempt.model.empty()) {
+    awaited_.Remove(aAttempt.sentAt);
+  }
+}
+
+void
+ModelChooser::RecordHead(const Exchange& aExchange)
+{
+  const Attempt& attempt = *aExchange.attempt;
+  const std::size_t count = aExchange.route.models.size();
+  if (count < 2 || attempt.resumed || !attempt.peer.empty()) {
+    return;
+  }
+  routing::ModelTiming& timing = timings_[aExchange.route.name];
+  timing.RecordHead(aExchange.modelIndex,
+                    count,
+                    attempt.promptTokens,
+                    timers_.Now() - attempt.sentAt);
+  if (aExchange.isEscalated && attempt.metadata.confidence) {
+    timing.RecordEscalatedAnswer(routing::SufficientProbability(
+      options_.modelCascade, *attempt.metadata.confidence));
+  }
+}
+
+void
+ModelChooser::RecordDecision(const Exchange& aExchange, bool aEscalated)
+{
+  if (aExchange.modelIndex == 0 && aExchange.route.models.size() > 1) {
+    timings_[aExchange.route.name].RecordFirstAnswer(aEscalated);
+  }
+}
+
+} // namespace hibiscusnotch::entry
--- /dev/null
+++ b/src/hibiscusnotch/entry/model_chooser.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// @brief Chooses between the models of a request's route.
+#pragma once
+
+#include "attempt_planner.hpp"
+#include "exchange.hpp"
+#include "hibiscusnotch/entry/fleet_state.hpp"
+#include "hibiscusnotch/entry/request_router.hpp"
+#include "hibiscusnotch/routing/model_cascade.hpp"
+#include "hibiscusnotch/routing/model_timing.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscusnotch::entry {
+
+class ModelChooser
+{
+public:
+  ModelChooser(const RouterOptions& aOptions,
+               const FleetState& aFleet,
+               const AttemptPlanner& aPlanner,
+               const relay::Timers& aTimers);
+
+  /// @brief Index of the route's model that runs first.
+  std::size_t FirstModel(const Exchange& aExchange) const;
+
+  /// @brief What a larger model's run is decided by.
+  struct Escalation
+  {
+    std::size_t model = 0; ///< Index of the larger model.
+    int minConfidence = 0; ///< Answers of at least this one are kept.
+    double crowding = 0;   ///< Or the load, for models without prices.
+  };
+
+  /// @brief The model to run next; nothing if the attempt's answer is kept.
+  /// @param aRetryBudgetUsed Fraction of the service's budget.
+  std::optional<Escalation> NextModel(const Exchange& aExchange,
+                                      double aRetryBudgetUsed) const;
+
+  /// @brief Records that an attempt was sent.
+  void RecordSend(const Attempt& aAttempt);
+  /// @brief Records that its response head came, or that it ended without one.
+  void RecordRead(const Attempt& aAttempt);
+  /// @brief Records the response head of the exchange's attempt.
+  void RecordHead(const Exchange& aExchange);
+  /// @brief Records whether the answer of a first attempt was escalated.
+  void RecordDecision(const Exchange& aExchange, bool aEscalated);
+
+private:
+  /// Prices of the route's models per token; empty if not all are stated.
+  std::vector<double> PricesOf(const Exchange& aExchange) const;
+  routing::CascadeView ViewOf(const Exchange& aExchange,
+                              const std::vector<double>& aPrices) const;
+
+  const RouterOptions& options_;
+  const FleetState& fleet_;
+  const AttemptPlanner& planner_;
+  const relay::Timers& timers_;
+  std::map<std::string, routing::ModelTiming> timings_; ///< By route.
+  routing::AwaitedHeads awaited_;
+};
+
+} // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -5,6 +5,7 @@
 #include "exchange.hpp"
 #include "forward_planner.hpp"
 #include "hibiscusnotch/entry/uplink_guard.hpp"
+#include "model_chooser.hpp"
 #include "request_admission.hpp"
 #include "request_description.hpp"
 #include "request_traits.hpp"
@@ -79,6 +80,7 @@
     , fleet_(aDependencies.fleet)
     , log_(aDependencies.log)
     , planner_(options_, fleet_, timers_)
+    , models_(options_, fleet_, planner_, timers_)
     , guard_(timers_, client_, fleet_, log_)
     , recorder_(timers_, client_, guard_, fleet_, log_)
     , responses_(aDependencies)
@@ -167,7 +169,7 @@
     const Duration latencyTarget = aExchange.route.latencyTarget;
     aExchange.waitDeadline =
       timers_.Now() + std::min(latencyTarget / kWaitDivisor, kMaxWait);
-    aExchange.modelIndex = routing::FirstModel(aExchange.route.models.size());
+    aExchange.modelIndex = models_.FirstModel(aExchange);
     aExchange.deadlineTimer =
       timers_.At(aExchange.deadline, [this, key] { OnDeadline(key); });
     Dispatch(aExchange);
@@ -416,22 +418,25 @@
     }
     ++aExchange.sends;
     aExchange.tried.push_back(aUpstream);
-    log_.Write(EventNumber::AttemptSent,
-               Describe(aExchange) + " to=" + attempt.upstreamName +
-                 " software=" + attempt.softwareVersion + " session=" +
-                 aExchange.metadata.session + " model=" + attempt.model +
-                 " left_ms=" + FormatMilliseconds(metadata.timeLeft) +
-                 " own_load=" + std::to_string(upstream.inFlight) + " load=" +
-                 std::to_string(static_cast<int>(
-                   routing::UpstreamTable::Load(upstream, now))) +
-                 (upstream.requestLimit
-                    ? " limit=" + FormatRate(*upstream.requestLimit) +
-                        " own_rate=" + FormatRate(upstream.pacer.Rate())
-                    : "") +
-                 DescribeConfiguration(fleet_, now));
+    log_.Write(
+      EventNumber::AttemptSent,
+      Describe(aExchange) + " to=" + attempt.upstreamName +
+        " software=" + attempt.softwareVersion +
+        " session=" + aExchange.metadata.session + " model=" + attempt.model +
+        " prompt_tokens=" + std::to_string(aExchange.metadata.promptTokens) +
+        " left_ms=" + FormatMilliseconds(metadata.timeLeft) +
+        " own_load=" + std::to_string(upstream.inFlight) + " load=" +
+        std::to_string(
+          static_cast<int>(routing::UpstreamTable::Load(upstream, now))) +
+        (upstream.requestLimit
+           ? " limit=" + FormatRate(*upstream.requestLimit) +
+               " own_rate=" + FormatRate(upstream.pacer.Rate())
+           : "") +
+        DescribeConfiguration(fleet_, now));
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
+    models_.RecordSend(attempt);
     StartCall(aExchange, std::move(attempt), std::move(call));
     if (aExchange.route.executionSemantics == ExecutionSemantics::Idempotent) {
       aExchange.attemptTimer = timers_.After(
@@ -440,6 +445,14 @@
     }
   }
 
+  void MarkPromptRead(Attempt& aAttempt)
+  {
+    if (aAttempt.promptUnread) {
+      models_.RecordRead(aAttempt);
+      recorder_.MarkPromptRead(aAttempt);
+    }
+  }
+
   /// Retries a slow idempotent request at another upstream.
   void OnSlowAttempt(ExchangeKey aKey)
   {
@@ -495,14 +508,16 @@
     if (!IsValidSuccess(exchange, attempt)) {
       return; // handled once the response is complete
     }
-    recorder_.MarkPromptRead(attempt);
+    MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       recorder_.RecordSuccess(exchange, attempt);
+      models_.RecordHead(exchange);
       if (!exchange.responseStarted && attempt.peer.empty() &&
           Escalate(exchange)) {
         return;
       }
       exchange.lastModel = attempt.model;
+      exchange.lastConfidence = attempt.metadata.confidence;
       attempt.accepted = true;
     }
   }
@@ -510,33 +525,34 @@
   /// Discards a low-confidence answer and runs a larger model.
   bool Escalate(Exchange& aExchange)
   {
-    Attempt& attempt = *aExchange.attempt;
-    const double load = planner_.ServiceLoad(attempt.service);
-    const auto next = routing::NextModel(options_.modelCascade,
-                                         aExchange.route.models.size(),
-                                         aExchange.modelIndex,
-                                         attempt.metadata.confidence,
-                                         load);
+    const Attempt& attempt = *aExchange.attempt;
+    const double budgetUsed = retryBudgets_[attempt.service].Used(
+      options_.retryBudget, fleet_.InstanceCount(), timers_.Now());
+    const auto next = models_.NextModel(aExchange, budgetUsed);
     if (!next || !aExchange.route.RetrySafe() ||
         aExchange.executions >= aExchange.route.maxAttempts ||
         IsQuarantined(aExchange)) {
+      models_.RecordDecision(aExchange, false);
       return false;
     }
     const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
     Reason reason = Reason::NoUpstream;
-    const auto chosen = planner_.ChooseUpstream(aExchange, *next, reason);
+    const auto chosen = planner_.ChooseUpstream(aExchange, next->model, reason);
     if (!chosen || !AcquireRetry(aExchange, kEscalationBudgetShare)) {
       aExchange.tried = tried;
+      models_.RecordDecision(aExchange, false);
       return false;
     }
     log_.Write(
       EventNumber::AnswerEscalated,
-      Describe(aExchange) + " from=" + attempt.model + " confidence=" +
-        std::to_string(*attempt.metadata.confidence) + " keep_from=" +
-        std::to_string(routing::MinConfidence(options_.modelCascade, load)) +
-        " load_percent=" + std::to_string(std::lround(load * 100)));
+      Describe(aExchange) + " from=" + attempt.model +
+        " confidence=" + std::to_string(*attempt.metadata.confidence) +
+        " keep_from=" + std::to_string(next->minConfidence) +
+        " load_percent=" + std::to_string(std::lround(next->crowding * 100)));
+    models_.RecordDecision(aExchange, true);
     EndAttempt(aExchange);
-    aExchange.modelIndex = *next;
+    aExchange.modelIndex = next->model;
+    aExchange.isEscalated = true;
     Send(aExchange, *chosen);
     return true;
   }
@@ -620,7 +636,7 @@
     timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
     bufferedBytes_ -= attempt.body.size();
-    recorder_.MarkPromptRead(attempt);
+    MarkPromptRead(attempt);
     if (attempt.peer.empty()) {
       planner_.RecordSessionVersion(aExchange, attempt);
     }
@@ -845,6 +861,7 @@
   void StartResponse(Exchange& aExchange)
   {
     if (!std::exchange(aExchange.responseStarted, true)) {
+      aExchange.startedAt = timers_.Now();
       responses_.StartStream(aExchange);
     }
   }
@@ -904,6 +921,7 @@
   FleetState& fleet_;
   EventLog& log_;
   AttemptPlanner planner_;
+  ModelChooser models_;
   UplinkGuard guard_;
   AttemptRecorder recorder_;
   ResponseWriter responses_;
--- a/src/hibiscusnotch/entry/response_writer.cpp
+++ b/src/hibiscusnotch/entry/response_writer.cpp
@@ -95,7 +95,14 @@
   log_.Write(EventNumber::RequestAnswered,
              DescribeExchange(aExchange, now) +
                " model=" + aExchange.lastModel +
-               " events=" + std::to_string(aExchange.events.EventCount()));
+               " events=" + std::to_string(aExchange.events.EventCount()) +
+               (aExchange.lastConfidence
+                  ? " confidence=" + std::to_string(*aExchange.lastConfidence)
+                  : "") +
+               (aExchange.responseStarted
+                  ? " first_ms=" + FormatMilliseconds(aExchange.startedAt -
+                                                      aExchange.arrivedAt)
+                  : ""));
 }
 
 ResponseWriter::LocalReply
--- a/src/hibiscusnotch/routing/retry_budget.cpp
+++ b/src/hibiscusnotch/routing/retry_budget.cpp
@@ -8,7 +8,7 @@
 
 constexpr core::Duration kBucketLength{ 1'000'000 };
 // Leaves room for requests in flight at the edges of a window.
-constexpr double kSafetyFactor = 0.8;
+constexpr double kSafetyFactor = 0.9;
 
 int64_t
 BucketNumber(core::TimePoint aNow)
@@ -35,11 +35,10 @@
   ++BucketAt(aNow).requests;
 }
 
-bool
-RetryBudget::TryAcquire(const RetryBudgetLimits& aLimits,
-                        std::size_t aInstances,
-                        double aShare,
-                        core::TimePoint aNow)
+RetryBudget::Usage
+RetryBudget::UsageAt(const RetryBudgetLimits& aLimits,
+                     std::size_t aInstances,
+                     core::TimePoint aNow) const
 {
   const int64_t oldest = BucketNumber(aNow - aLimits.window);
   uint32_t requests = 0;
@@ -50,16 +49,34 @@
       retries += bucket.retries;
     }
   }
-  const double allowed =
-    kSafetyFactor * aShare *
-    (aLimits.ratio * requests +
-     aLimits.minRetries /
-       static_cast<double>(std::max<std::size_t>(1, aInstances)));
-  if (retries + 1 > allowed) {
+  const double share =
+    aLimits.minRetries /
+    static_cast<double>(std::max<std::size_t>(1, aInstances));
+  return { static_cast<double>(retries),
+           kSafetyFactor * (aLimits.ratio * requests + share) };
+}
+
+bool
+RetryBudget::TryAcquire(const RetryBudgetLimits& aLimits,
+                        std::size_t aInstances,
+                        double aShare,
+                        core::TimePoint aNow)
+{
+  const Usage usage = UsageAt(aLimits, aInstances, aNow);
+  if (usage.retries + 1 > aShare * usage.allowed) {
     return false;
   }
   ++BucketAt(aNow).retries;
   return true;
 }
 
+double
+RetryBudget::Used(const RetryBudgetLimits& aLimits,
+                  std::size_t aInstances,
+                  core::TimePoint aNow) const
+{
+  const Usage usage = UsageAt(aLimits, aInstances, aNow);
+  return usage.allowed > 0 ? std::min(1.0, usage.retries / usage.allowed) : 1;
+}
+
 } // namespace hibiscusnotch::routing
