Decode three or four load figures and log unreadable ones

A header with four figures was dropped entirely. The fourth becomes a momentary slowdown that counts for 600 ms. E740 is written at most once in 10 s.

--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -78,6 +78,9 @@
   /// are stated in a form that cannot be read.
   std::optional<double> bearableRejections;
   std::optional<routing::ReportedLoad> load;
+  /// @brief How long work takes there at present, in units of the usual time.
+  std::optional<double> slowdown;
+  bool loadUnreadable = false; ///< Some figure of the stated load is malformed.
   std::optional<int> confidence; ///< 0 to 100.
 };
 
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -76,6 +77,8 @@
   double pendingTokens = 0; ///< Prompts sent by this instance and not read yet.
   double reportedPeerLoad = 0; ///< Of other instances.
   TimePoint reportedAt{};
+  double slowdown = 1; ///< As it stated last; 1 is usual.
+  TimePoint slowdownAt{};
   uint32_t peerRequests = 0; ///< Requests of this zone's other instances.
   double peerPendingTokens = 0;
   TimePoint peerReportAt{};
@@ -94,6 +97,10 @@
   /// @brief A reported load loses half its weight after this time; a peer's
   /// report expires.
   static constexpr Duration kLoadReportLifetime{ 1'000'000 };
+  /// @brief How long a stated slowdown counts: it changes many times a second.
+  static constexpr Duration kSlowdownLifetime{ 600'000 };
+  /// @brief Log lines about unreadable loads are at least so far apart.
+  static constexpr Duration kUnreadableLoadLogInterval{ 10'000'000 };
   /// @brief After a restore of the store, entries that were removed before are
   /// not used for this time: those of ended upstreams expire within it.
   static constexpr Duration kRestoredEntryHold{ 5'000'000 };
@@ -136,6 +143,16 @@
   void RecordReportedLoad(UpstreamId aId,
                           const ReportedLoad& aLoad,
                           TimePoint aNow);
+  /// @brief How long work takes there at present, in units of the usual time.
+  void RecordSlowdown(UpstreamId aId, double aSlowdown, TimePoint aNow);
+  /// @brief A stated load could not be read in full. Returns the number of such
+  /// responses since the last log line if another line is due.
+  std::optional<uint64_t> RecordUnreadableLoad(TimePoint aNow);
+  /// @brief True if an upstream of the service has stated its slowdown.
+  bool StatesSlowdown(std::string_view aService) const
+  {
+    return slowdownServices_.contains(aService);
+  }
   /// @brief The load from the zone's other instances.
   void RecordPeerLoad(UpstreamId aId,
                       uint32_t aRequests,
@@ -177,6 +194,8 @@
   static double PendingTokens(const Upstream& aUpstream, TimePoint aNow);
   /// @brief Estimated number of requests at the upstream, of all instances.
   static double Load(const Upstream& aUpstream, TimePoint aNow);
+  /// @brief The stated slowdown while it is fresh, else the usual one.
+  static double Slowdown(const Upstream& aUpstream, TimePoint aNow);
 
 private:
   /// An upstream that is leaving or whose entry was removed.
@@ -196,6 +215,9 @@
   std::map<std::string, UpstreamId, std::less<>> byName_;
   uint32_t nextId_ = 0;
   uint64_t limitChanges_ = 0;
+  std::set<std::string, std::less<>> slowdownServices_;
+  uint64_t unreadableLoads_ = 0; ///< Since the last log line.
+  std::optional<TimePoint> unreadableLoadLoggedAt_;
 };
 
 } // namespace hibiscusnotch::routing
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -85,6 +85,9 @@
   EventDescription{ UplinksRegained, LogLevel::Info, "uplinks_regained" },
   EventDescription{ RequestForwarded, LogLevel::Info, "request_forwarded" },
   EventDescription{ ServiceBrittle, LogLevel::Warning, "service_brittle" },
+  EventDescription{ UpstreamLoadUnreadable,
+                    LogLevel::Warning,
+                    "upstream_load_unreadable" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -670,6 +670,22 @@
       fleet_.upstreams.RecordReportedLoad(
         aAttempt.upstream, *aAttempt.metadata.load, now);
     }
+    if (aAttempt.metadata.slowdown && !aAttempt.metadata.wrongUpstream) {
+      fleet_.upstreams.RecordSlowdown(
+        aAttempt.upstream, *aAttempt.metadata.slowdown, now);
+    }
+    if (aAttempt.metadata.loadUnreadable) {
+      LogUnreadableLoad(aAttempt, now);
+    }
+  }
+
+  void LogUnreadableLoad(const Attempt& aAttempt, TimePoint aNow)
+  {
+    if (const auto count = fleet_.upstreams.RecordUnreadableLoad(aNow)) {
+      log_.Write(EventNumber::UpstreamLoadUnreadable,
+                 "upstream=" + aAttempt.upstreamName +
+                   " responses=" + std::to_string(*count));
+    }
   }
 
   /// Records that the upstream is leaving, or wants no requests for a while.
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -266,6 +266,30 @@
   }
 }
 
+void
+UpstreamTable::RecordSlowdown(UpstreamId aId, double aSlowdown, TimePoint aNow)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->slowdown = aSlowdown;
+    upstream->slowdownAt = aNow;
+    if (!StatesSlowdown(upstream->entry.service)) {
+      slowdownServices_.insert(upstream->entry.service);
+    }
+  }
+}
+
+std::optional<uint64_t>
+UpstreamTable::RecordUnreadableLoad(TimePoint aNow)
+{
+  ++unreadableLoads_;
+  if (unreadableLoadLoggedAt_ &&
+      aNow - *unreadableLoadLoggedAt_ < kUnreadableLoadLogInterval) {
+    return std::nullopt;
+  }
+  unreadableLoadLoggedAt_ = aNow;
+  return std::exchange(unreadableLoads_, 0);
+}
+
 void
 UpstreamTable::RecordOutcome(UpstreamId aId, bool aGood)
 {
@@ -347,6 +371,13 @@
          (peerReportFresh ? aUpstream.peerPendingTokens : 0);
 }
 
+double
+UpstreamTable::Slowdown(const Upstream& aUpstream, TimePoint aNow)
+{
+  return aNow - aUpstream.slowdownAt < kSlowdownLifetime ? aUpstream.slowdown
+                                                         : 1;
+}
+
 double
 UpstreamTable::Load(const Upstream& aUpstream, TimePoint aNow)
 {
--- a/src/hibiscusnotch/routing/upstream_table_test.cpp
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -215,3 +215,32 @@
   CHECK_FALSE(table.Find(without)->requestLimit);
   CHECK(table.Find(holder)->requestLimit); // it asks by itself
 }
+
+TEST_CASE("a stated slowdown counts while it is fresh")
+{
+  // Guards against a momentary figure that steers work for seconds.
+  UpstreamTable table;
+  UpstreamEntry entry;
+  entry.name = "u";
+  entry.service = "engine";
+  const UpstreamId id = table.Apply(entry, kNow);
+  CHECK_FALSE(table.StatesSlowdown("engine"));
+  table.RecordSlowdown(id, 2.5, kNow);
+  CHECK(table.StatesSlowdown("engine"));
+  CHECK_FALSE(table.StatesSlowdown("other"));
+  const Upstream& upstream = *table.Find(id);
+  CHECK(UpstreamTable::Slowdown(upstream, kNow) == 2.5);
+  CHECK(UpstreamTable::Slowdown(upstream,
+                                kNow + UpstreamTable::kSlowdownLifetime) == 1);
+}
+
+TEST_CASE("unreadable loads are logged at a bounded rate")
+{
+  // Guards against a log line for each response of a faulty upstream.
+  UpstreamTable table;
+  CHECK(table.RecordUnreadableLoad(kNow) == 1);
+  CHECK_FALSE(table.RecordUnreadableLoad(kNow));
+  CHECK_FALSE(table.RecordUnreadableLoad(kNow));
+  CHECK(table.RecordUnreadableLoad(
+          kNow + UpstreamTable::kUnreadableLoadLogInterval) == 3);
+}
