Learn the lasting speed of upstreams and share it within a zone

Observed times to the response head are compared with those expected for the model, the prompt and the queue. The sums travel in one appended field of the load reports, a few upstreams at a time so that the control traffic stays in its budget, and the aggregator returns the zone's totals. Upstreams are identified by incarnation, so that a replaced one starts at the median.

--- a/include/hibiscusnotch/entry/fleet_report.hpp
+++ b/include/hibiscusnotch/entry/fleet_report.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/entry/load_aggregator.hpp"
 #include "hibiscusnotch/entry/rollout_aggregator.hpp"
+#include "hibiscusnotch/entry/speed_aggregator.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
 
 #include <cstdint>
@@ -30,11 +31,14 @@
   RolloutReport rollouts; ///< Counts are rounded to hundredths.
   std::vector<routing::TraitReport> crashes; ///< Ages in whole milliseconds.
   std::vector<LimitReport> limits; ///< Rounded to thousandths, milliseconds.
+  /// @brief Rounded to milliseconds. An upstream that is not among them is
+  /// unknown to the sender, or has its turn in another report.
+  std::vector<SpeedReport> speeds = {};
 };
 
 /// @brief Encodes the report as a CBOR array. Limits that would make it larger
 /// than one packet are left out: an instance also learns them from the upstream
-/// itself.
+/// itself. The same holds for speeds.
 std::string
 EncodeFleetReport(const FleetReport& aReport);
 
--- a/include/hibiscusnotch/routing/service_timing.hpp
+++ b/include/hibiscusnotch/routing/service_timing.hpp
@@ -30,11 +30,11 @@
 /// @brief What an attempt found at its upstream when it was sent.
 struct SendObservation
 {
-  double unreadTokens = 0; ///< Queued ahead and its own.
+  double queuedTokens = 0; ///< Ahead of its own.
+  double ownTokens = 0;    ///< Of its prompt, without those that are cached.
   double outputTokens = 0; ///< Expected.
   double load = 0;         ///< Requests there before it.
   double slots = 1;
-  double slowdown = 1;
 };
 
 /// @brief Weighted sums of one linear relation, which decay with time.
@@ -87,6 +87,11 @@
                  Duration aSinceHead,
                  Duration aSinceSend,
                  TimePoint aNow);
+  /// @brief The seconds to the head that are usual for what an attempt found;
+  /// nothing while unknown, or if it had to wait for a slot.
+  std::optional<double> ExpectedHead(std::string_view aService,
+                                     std::string_view aModel,
+                                     const SendObservation& aSent) const;
   TimeEstimates For(std::string_view aService, std::string_view aModel) const;
 
 private:
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -6,6 +6,7 @@
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/core/time.hpp"
 #include "hibiscusnotch/routing/request_limit.hpp"
+#include "hibiscusnotch/routing/upstream_speed.hpp"
 
 #include <deque>
 #include <functional>
@@ -79,6 +80,9 @@
   TimePoint reportedAt{};
   double slowdown = 1; ///< As it stated last; 1 is usual.
   TimePoint slowdownAt{};
+  SpeedSums ownSpeed;  ///< Of this instance's responses.
+  SpeedSums peerSpeed; ///< Of the zone's other instances.
+  double speed = 1;    ///< Lasting time as a multiple of the service's median.
   uint32_t peerRequests = 0; ///< Requests of this zone's other instances.
   double peerPendingTokens = 0;
   TimePoint peerReportAt{};
@@ -99,6 +103,8 @@
   static constexpr Duration kLoadReportLifetime{ 1'000'000 };
   /// @brief How long a stated slowdown counts: it changes many times a second.
   static constexpr Duration kSlowdownLifetime{ 600'000 };
+  /// @brief Speeds are computed anew at most so often.
+  static constexpr Duration kSpeedUpdateInterval{ 200'000 };
   /// @brief Log lines about unreadable loads are at least so far apart.
   static constexpr Duration kUnreadableLoadLogInterval{ 10'000'000 };
   /// @brief After a restore of the store, entries that were removed before are
@@ -145,6 +151,13 @@
                           TimePoint aNow);
   /// @brief How long work takes there at present, in units of the usual time.
   void RecordSlowdown(UpstreamId aId, double aSlowdown, TimePoint aNow);
+  /// @brief The seconds to a response head, and those that were expected.
+  void RecordResponseTime(UpstreamId aId,
+                          double aObserved,
+                          double aExpected,
+                          TimePoint aNow);
+  /// @brief The sums of the zone's other instances.
+  void RecordPeerSpeed(UpstreamId aId, const SpeedSums& aSums);
   /// @brief A stated load could not be read in full. Returns the number of such
   /// responses since the last log line if another line is due.
   std::optional<uint64_t> RecordUnreadableLoad(TimePoint aNow);
@@ -207,6 +220,7 @@
   };
 
   void RecordDeparted(const Upstream& aUpstream, TimePoint aNow);
+  void UpdateSpeeds(TimePoint aNow);
   void ApplyDeparted(Upstream& aUpstream, TimePoint aNow) const;
 
   std::map<UpstreamId, Upstream> rows_;
@@ -216,6 +230,9 @@
   uint32_t nextId_ = 0;
   uint64_t limitChanges_ = 0;
   std::set<std::string, std::less<>> slowdownServices_;
+  TimePoint speedsUpdatedAt_{};
+  /// Responses and their expected seconds, decaying; for the weight of one.
+  SpeedSums meanResponse_;
   uint64_t unreadableLoads_ = 0; ///< Since the last log line.
   std::optional<TimePoint> unreadableLoadLoggedAt_;
 };
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -294,6 +294,11 @@
   if (!aAttempt.sent) {
     return;
   }
+  if (const auto expected = timings_.ExpectedHead(
+        aAttempt.service, aAttempt.model, *aAttempt.sent)) {
+    fleet_.upstreams.RecordResponseTime(
+      aAttempt.upstream, core::Seconds(now - aAttempt.sentAt), *expected, now);
+  }
   timings_.RecordHead(aAttempt.service,
                       aAttempt.model,
                       *aAttempt.sent,
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -14,9 +14,14 @@
 
 constexpr std::size_t kCrashesField = 7;
 constexpr std::size_t kLimitsField = 8;
+constexpr std::size_t kSpeedsField = 9;
 constexpr double kRateScale = 1000; // per request a second
 constexpr std::size_t kMaxPacketBytes = 1400;
 constexpr std::size_t kMaxLimitBytes = 15; // of one limit's three numbers
+constexpr std::size_t kMaxSpeedBytes = 15; // of one upstream's three numbers
+constexpr double kSpeedScale = 1000;       // per second
+// More than an upstream's responses within the sums' memory take.
+constexpr double kMaxSpeedSeconds = 1e5;
 constexpr int64_t kNoLimit = -1;
 constexpr double kCountScale = 100;      // per answer
 constexpr double kShareScale = 1e6;      // for the share of all sessions
@@ -180,6 +185,40 @@
   return reports;
 }
 
+/// A flat array with three numbers per upstream: incarnation, observed and
+/// expected time.
+json
+EncodeSpeeds(std::span<const SpeedReport> aReports)
+{
+  const auto encode = [](double aSeconds) {
+    return static_cast<uint32_t>(
+      std::llround(std::clamp(aSeconds, 0.0, kMaxSpeedSeconds) * kSpeedScale));
+  };
+  json numbers = json::array();
+  for (const SpeedReport& report : aReports) {
+    numbers.push_back(report.incarnation);
+    numbers.push_back(encode(report.observed));
+    numbers.push_back(encode(report.expected));
+  }
+  return numbers;
+}
+
+std::vector<SpeedReport>
+DecodeSpeeds(const json& aNumbers)
+{
+  const auto decode = [](const json& aNumber) {
+    return std::min(static_cast<double>(aNumber.get<uint32_t>()) / kSpeedScale,
+                    kMaxSpeedSeconds);
+  };
+  std::vector<SpeedReport> reports;
+  for (std::size_t at = 0; at < aNumbers.size(); at += 3) {
+    reports.push_back({ aNumbers.at(at).get<uint32_t>(),
+                        decode(aNumbers.at(at + 1)),
+                        decode(aNumbers.at(at + 2)) });
+  }
+  return reports;
+}
+
 ReportKind
 DecodeKind(const json& aKind)
 {
@@ -223,6 +262,15 @@
     bytes.clear();
     json::to_cbor(message, bytes);
   }
+  const std::size_t speeds =
+    std::min(aReport.speeds.size(),
+             (kMaxPacketBytes - std::min(kMaxPacketBytes, bytes.size())) /
+               kMaxSpeedBytes);
+  if (speeds > 0) {
+    message.push_back(EncodeSpeeds(std::span(aReport.speeds).first(speeds)));
+    bytes.clear();
+    json::to_cbor(message, bytes);
+  }
   return bytes;
 }
 
@@ -245,6 +293,9 @@
     if (message.size() > kLimitsField) {
       report.limits = DecodeLimits(message.at(kLimitsField));
     }
+    if (message.size() > kSpeedsField) {
+      report.speeds = DecodeSpeeds(message.at(kSpeedsField));
+    }
     return report;
   } catch (const json::exception& aError) {
     aLastReason = aError.what();
--- a/src/hibiscusnotch/entry/peer_exchange.cpp
+++ b/src/hibiscusnotch/entry/peer_exchange.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <limits>
 #include <set>
 #include <vector>
 
@@ -72,7 +73,9 @@
              LocalLoad(fleet_),
              LocalRolloutReport(fleet_, aNow),
              fleet_.crashEvidence.Report(aNow),
-             LimitReports(fleet_, { LimitSource::Response }, aNow) };
+             LimitReports(fleet_, { LimitSource::Response }, aNow),
+             speedRotation_.Next(LocalSpeeds(fleet_, aNow),
+                                 kSpeedsPerLocalReport) };
   }
 
   std::vector<LimitReport> KnownLimits(TimePoint aNow) const
@@ -91,6 +94,16 @@
   void ActAsAggregator(TimePoint aNow)
   {
     SetLocalReport(aNow);
+    std::vector<SpeedReport> ownSpeeds;
+    for (const auto& [incarnation, speed] : LocalSpeeds(fleet_, aNow)) {
+      ownSpeeds.push_back(speed);
+    }
+    speedAggregator_.SetReport(options_.instanceName, ownSpeeds, aNow);
+    ApplyPeerSpeeds(
+      speedAggregator_.NextTotals(
+        options_.instanceName, std::numeric_limits<std::size_t>::max(), aNow),
+      fleet_,
+      aNow);
     ApplyPeerLoad(loadAggregator_.TotalExcluding(options_.instanceName, aNow),
                   fleet_,
                   aNow);
@@ -111,7 +124,8 @@
                           {},
                           rolloutAggregator_.TotalOfMembers(aNow),
                           crashes,
-                          limits });
+                          limits,
+                          {} });
     for (const std::string& peer : RemoteAggregators()) {
       SendTo(fleet_.instances[peer].endpoint, message);
     }
@@ -157,12 +171,14 @@
         loadAggregator_.SetReport(aReport.sender, aReport.load, now);
         rolloutAggregator_.SetMemberReport(
           aReport.sender, aReport.rollouts, now);
+        speedAggregator_.SetReport(aReport.sender, aReport.speeds, now);
         ReplyToMember(aReport.sender, aSender, now);
         return;
       case ReportKind::AggregateForMember:
         lastTotalAt_ = now;
         ApplyPeerLoad(aReport.load, fleet_, now);
         ApplyRolloutReport(aReport.rollouts, fleet_, now);
+        ApplyPeerSpeeds(aReport.speeds, fleet_, now);
         return;
       case ReportKind::ZoneTotal:
         rolloutAggregator_.SetZoneReport(aReport.zone, aReport.rollouts, now);
@@ -175,14 +191,15 @@
                      TimePoint aNow)
   {
     SetLocalReport(aNow);
-    const std::string totals =
-      EncodeFleetReport({ ReportKind::AggregateForMember,
-                          options_.instanceName,
-                          options_.zone,
-                          loadAggregator_.TotalExcluding(aMember, aNow),
-                          rolloutAggregator_.TotalExcluding(aMember, aNow),
-                          fleet_.crashEvidence.Report(aNow),
-                          KnownLimits(aNow) });
+    const std::string totals = EncodeFleetReport(
+      { ReportKind::AggregateForMember,
+        options_.instanceName,
+        options_.zone,
+        loadAggregator_.TotalExcluding(aMember, aNow),
+        rolloutAggregator_.TotalExcluding(aMember, aNow),
+        fleet_.crashEvidence.Report(aNow),
+        KnownLimits(aNow),
+        speedAggregator_.NextTotals(aMember, kSpeedsPerTotal, aNow) });
     boost::system::error_code error;
     // A lost report is superseded by the next one.
     socket_.send_to(boost::asio::buffer(totals), aEndpoint, 0, error);
@@ -242,6 +259,8 @@
   udp::socket socket_;
   LoadAggregator loadAggregator_;
   RolloutAggregator rolloutAggregator_;
+  SpeedAggregator speedAggregator_;
+  SpeedRotation speedRotation_;
   std::size_t aggregatorRank_ = 0;
   TimePoint lastTotalAt_{};
 };
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -388,7 +388,8 @@
     const Upstream& upstream = *aCandidate.upstream;
     const WorkEstimate work =
       ExpectedWork(context_, upstream, factors_.localMean);
-    const double slowdown = UpstreamTable::Slowdown(upstream, context_.now);
+    const double slowdown =
+      upstream.speed * UpstreamTable::Slowdown(upstream, context_.now);
     const bool remote = upstream.entry.zone != context_.localZone;
     const double penalty =
       aPenaltyTokens + (remote ? kCrossZonePenaltyTokens : 0);
@@ -506,7 +507,7 @@
   const double free =
     slots - ExpectedWork(aContext, aUpstream, aLocalMean).load;
   return std::max(free, kMinFreeFraction * slots) /
-         UpstreamTable::Slowdown(aUpstream, aContext.now);
+         (aUpstream.speed * UpstreamTable::Slowdown(aUpstream, aContext.now));
 }
 
 /// Sets each group's draws within its total weight.
@@ -587,14 +588,12 @@
             TimePoint aNow)
 {
   SendObservation sent;
+  sent.queuedTokens = UpstreamTable::PendingTokens(aUpstream, aNow);
   // Placement sends most prompts with a shared prefix to where it is cached.
-  sent.unreadTokens =
-    UpstreamTable::PendingTokens(aUpstream, aNow) +
-    std::max(0.0, aRequest.promptTokens - aRequest.sharedTokens);
+  sent.ownTokens = std::max(0.0, aRequest.promptTokens - aRequest.sharedTokens);
   sent.outputTokens = aRequest.outputTokens;
   sent.load = UpstreamTable::Load(aUpstream, aNow);
   sent.slots = std::max(1U, aUpstream.entry.slots);
-  sent.slowdown = UpstreamTable::Slowdown(aUpstream, aNow);
   return sent;
 }
 
--- a/src/hibiscusnotch/routing/service_timing.cpp
+++ b/src/hibiscusnotch/routing/service_timing.cpp
@@ -20,6 +20,13 @@
   return std::exp(-core::Seconds(aNow - aThen) / kMemorySeconds);
 }
 
+/// Requests beyond the slots wait for whole rounds of the others.
+double
+PlainRounds(const SendObservation& aSent)
+{
+  return std::max(1.0, (aSent.load + 1) / aSent.slots);
+}
+
 } // namespace
 
 void
@@ -73,21 +80,20 @@
                            Duration aTook,
                            TimePoint aNow)
 {
-  const double took = core::Seconds(aTook) / aSent.slowdown;
+  const double took = core::Seconds(aTook);
   if (aModel.empty()) {
     if (Sums* sums = Entry(aService, {})) {
-      // Requests beyond the slots wait for whole rounds of the others.
-      sums->plain.Add(
-        took, std::max(1.0, (aSent.load + 1) / aSent.slots), aNow);
+      sums->plain.Add(took, PlainRounds(aSent), aNow);
     }
     return;
   }
-  if (aSent.load + 1 > aSent.slots || aSent.unreadTokens <= 0) {
+  const double tokens = aSent.queuedTokens + aSent.ownTokens;
+  if (aSent.load + 1 > aSent.slots || tokens <= 0) {
     return; // the time includes the wait for a slot
   }
   for (const std::string_view model : { std::string_view(), aModel }) {
     if (Sums* sums = Entry(aService, model)) {
-      sums->prompt.Add(took, aSent.unreadTokens, aNow);
+      sums->prompt.Add(took, tokens, aNow);
     }
   }
 }
@@ -118,6 +124,25 @@
   }
 }
 
+std::optional<double>
+ServiceTimings::ExpectedHead(std::string_view aService,
+                             std::string_view aModel,
+                             const SendObservation& aSent) const
+{
+  const TimeEstimates estimates = For(aService, aModel);
+  if (aModel.empty()) {
+    return estimates.perPlainRequest
+             ? std::optional(*estimates.perPlainRequest * PlainRounds(aSent))
+             : std::nullopt;
+  }
+  if (!estimates.perPromptToken || !estimates.perQueuedToken ||
+      aSent.load + 1 > aSent.slots) {
+    return std::nullopt;
+  }
+  return aSent.queuedTokens * *estimates.perQueuedToken +
+         aSent.ownTokens * *estimates.perPromptToken;
+}
+
 TimeEstimates
 ServiceTimings::For(std::string_view aService, std::string_view aModel) const
 {
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 namespace hibiscusnotch::routing {
 
@@ -15,6 +16,9 @@
 // The span in which a brittle upstream counts its rejections.
 constexpr Duration kMinRejectionPause{ 1'000'000 };
 constexpr uint32_t kMaxRejectionDoublings = 3;
+// Responses at the median's pace that are added to those observed of an
+// upstream: single ones vary by the prompts that other instances sent.
+constexpr double kPriorResponses = 3;
 constexpr double kOutcomeEwmaWeight = 0.15; // averages about seven outcomes
 constexpr double kMaxOutcomeCount = 20;
 
@@ -278,6 +282,65 @@
   }
 }
 
+void
+UpstreamTable::RecordResponseTime(UpstreamId aId,
+                                  double aObserved,
+                                  double aExpected,
+                                  TimePoint aNow)
+{
+  Upstream* upstream = Find(aId);
+  if (!upstream || aExpected <= 0) {
+    return;
+  }
+  upstream->ownSpeed.Add(aObserved, aExpected, aNow);
+  meanResponse_ = meanResponse_.At(aNow);
+  meanResponse_.observed += 1;
+  meanResponse_.expected += aExpected;
+  if (aNow - speedsUpdatedAt_ >= kSpeedUpdateInterval) {
+    speedsUpdatedAt_ = aNow;
+    UpdateSpeeds(aNow);
+  }
+}
+
+void
+UpstreamTable::RecordPeerSpeed(UpstreamId aId, const SpeedSums& aSums)
+{
+  if (Upstream* upstream = Find(aId)) {
+    upstream->peerSpeed = aSums;
+  }
+}
+
+void
+UpstreamTable::UpdateSpeeds(TimePoint aNow)
+{
+  struct ServiceSpeeds
+  {
+    std::vector<Upstream*> upstreams;
+    std::vector<SpeedSums> sums;
+  };
+  std::map<std::string_view, ServiceSpeeds> services;
+  for (auto& [id, upstream] : rows_) {
+    if (upstream.removed) {
+      continue;
+    }
+    SpeedSums sums = upstream.ownSpeed.At(aNow);
+    const SpeedSums peers = upstream.peerSpeed.At(aNow);
+    sums.observed += peers.observed;
+    sums.expected += peers.expected;
+    ServiceSpeeds& service = services[upstream.entry.service];
+    service.upstreams.push_back(&upstream);
+    service.sums.push_back(sums);
+  }
+  const double prior =
+    kPriorResponses * meanResponse_.expected / meanResponse_.observed;
+  for (const auto& [name, service] : services) {
+    const std::vector<double> factors = SpeedFactors(service.sums, prior);
+    for (std::size_t index = 0; index < factors.size(); ++index) {
+      service.upstreams[index]->speed = factors[index];
+    }
+  }
+}
+
 std::optional<uint64_t>
 UpstreamTable::RecordUnreadableLoad(TimePoint aNow)
 {
