--- a/src/hibiscusnotch/entry/attempt_recorder.cpp
+++ b/src/hibiscusnotch/entry/attempt_recorder.cpp
@@ -42,6 +42,17 @@
     fleet_.upstreams.RecordReportedLoad(
       aAttempt.upstream, *aAttempt.metadata.load, now);
   }
+  if (aAttempt.metadata.slowdown && !aAttempt.metadata.wrongUpstream) {
+    fleet_.upstreams.RecordSlowdown(
+      aAttempt.upstream, *aAttempt.metadata.slowdown, now);
+  }
+  if (aAttempt.metadata.loadUnreadable) {
+    if (const auto count = fleet_.upstreams.RecordUnreadableLoad(now)) {
+      log_.Write(EventNumber::UpstreamLoadUnreadable,
+                 "upstream=" + aAttempt.upstreamName +
+                   " responses=" + std::to_string(*count));
+    }
+  }
 }
 
 void
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -433,6 +433,7 @@
                " own_rate=" + FormatRate(upstream.pacer.Rate())
            : "") +
         DescribeConfiguration(fleet_, now));
+    planner_.RecordSend(aExchange, attempt);
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
@@ -508,6 +509,7 @@
     if (!IsValidSuccess(exchange, attempt)) {
       return; // handled once the response is complete
     }
+    planner_.RecordHead(attempt);
     MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       recorder_.RecordSuccess(exchange, attempt);
@@ -675,6 +677,7 @@
         OnConnectionLost(exchange, attempt);
         return;
       case CallOutcome::Complete:
+        planner_.RecordComplete(attempt);
         OnComplete(exchange, attempt);
         return;
     }
