Let requests wait in one queue for each service

entry/request_queue replaces the check of each waiting request every 40 ms. It is woken by ended attempts, changed entries, limits and load reports through an observer of the upstream table, and by one timer for the next known opening, the next wait deadline or 50 ms later; the observer and the timer exist only while somebody waits. A pass tries up to 8 requests in vain, as others may need less. A request whose expected start is after its wait deadline is refused as queue_full after it was tried once more; Retry-After follows the pace of the queue. Streams under way go first and keep their own limit. A request that was refused by upstreams still pauses 40 ms before it asks them again.

--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -10,6 +10,7 @@
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/model_cascade.hpp"
 #include "hibiscusnotch/routing/retry_budget.hpp"
+#include "hibiscusnotch/routing/wait_queue.hpp"
 
 #include <memory>
 #include <string>
@@ -30,6 +31,7 @@
   /// requests per second on top.
   double coldRateFactor = 1.0;
   double coldRateSlack = 0;
+  routing::WaitQueueOptions waiting;
   /// @brief Upstreams end when their requests exceed their memory, and callers
   /// may read slowly.
   bool memoryPressure = false;
@@ -69,6 +71,10 @@
                                     relay::ExchangeId aId) = 0;
   virtual void OnWritten(RequestOrigin aOrigin, relay::ExchangeId aId) = 0;
   virtual std::size_t OpenRequestCount() const = 0;
+  /// @brief Requests that wait for an upstream.
+  virtual std::size_t QueuedRequestCount() const = 0;
+  /// @brief How long the oldest of them has been open.
+  virtual Duration OldestQueuedAge() const = 0;
   /// @brief Refuses all further requests, as the process is about to end.
   virtual void RefuseNewRequests() = 0;
   /// @brief True while no upstream accepts connections of this instance.
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hibiscusnotch::routing {
 
@@ -129,6 +130,13 @@
   std::optional<UpstreamId> FindByName(std::string_view aName) const;
   const std::map<UpstreamId, Upstream>& Rows() const { return rows_; }
 
+  /// @brief Sets what is called when an upstream may take requests that it did
+  /// not take before; empty for nothing.
+  void SetCapacityObserver(std::function<void()> aObserver)
+  {
+    capacityObserver_ = std::move(aObserver);
+  }
+
   void RecordSend(UpstreamId aId, double aPromptTokens, TimePoint aNow);
   /// @brief The upstream has read the prompt.
   void RecordFirstOutput(UpstreamId aId, double aPromptTokens);
@@ -187,6 +195,12 @@
     TimePoint at{};
   };
 
+  void NotifyCapacity() const
+  {
+    if (capacityObserver_) {
+      capacityObserver_();
+    }
+  }
   void RecordDeparted(const Upstream& aUpstream, TimePoint aNow);
   void ApplyDeparted(Upstream& aUpstream, TimePoint aNow) const;
 
@@ -196,6 +210,7 @@
   std::map<std::string, UpstreamId, std::less<>> byName_;
   uint32_t nextId_ = 0;
   uint64_t limitChanges_ = 0;
+  std::function<void()> capacityObserver_;
 };
 
 } // namespace hibiscusnotch::routing
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusnotch/core/rendezvous.hpp"
 #include "hibiscusnotch/routing/cold_start_share.hpp"
+#include "hibiscusnotch/routing/next_opening.hpp"
 #include "hibiscusnotch/routing/request_limit.hpp"
 #include "hibiscusnotch/routing/slot_share.hpp"
 
@@ -258,6 +259,12 @@
   return routing::NextOpening(Context(), plan->request);
 }
 
+std::optional<TimePoint>
+AttemptPlanner::NextKnownOpening(std::string_view aService) const
+{
+  return routing::NextKnownOpening(Context(), aService);
+}
+
 std::string
 ModelName(const Exchange& aExchange, std::size_t aModelIndex)
 {
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -38,6 +38,9 @@
   std::optional<routing::Opening> NextOpening(const Exchange& aExchange,
                                               std::size_t aModelIndex) const;
 
+  /// @brief As routing::NextKnownOpening.
+  std::optional<TimePoint> NextKnownOpening(std::string_view aService) const;
+
   /// @brief The instances that have shares of the service's upstreams, if each
   /// upstream divides what it takes and this instance has no share.
   std::set<std::string> ShareHolders(const Exchange& aExchange,
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -9,6 +9,7 @@
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
+#include "hibiscusnotch/routing/wait_queue.hpp"
 
 #include <compare>
 #include <optional>
@@ -67,9 +68,11 @@
   TimePoint waitDeadline{}; ///< Refused if no upstream is found by then.
   relay::TimerId deadlineTimer = 0;
   relay::TimerId waitTimer = 0;
-  relay::TimerId attemptTimer = 0; ///< Only for idempotent requests.
-  uint32_t executions = 0;         ///< Started, or possibly started.
-  uint32_t sends = 0;              ///< Including refused ones.
+  routing::WaitTicket waitTicket = 0; ///< Not zero while it is in the queue.
+  std::string waitService;            ///< In whose queue it is.
+  relay::TimerId attemptTimer = 0;    ///< Only for idempotent requests.
+  uint32_t executions = 0;            ///< Started, or possibly started.
+  uint32_t sends = 0;                 ///< Including refused ones.
   bool mayHaveExecuted = false;
   bool responseStarted = false; ///< The caller has part of a response.
   bool paused = false;
--- a/src/hibiscusnotch/entry/request_admission.cpp
+++ b/src/hibiscusnotch/entry/request_admission.cpp
@@ -13,6 +13,8 @@
 constexpr int kUnavailable = 503;
 // A store outage takes seconds; callers with little time retry sooner.
 constexpr Duration kRetryAfterStale{ 2'000'000 };
+// Sends beyond the route's attempts, as refused sends are not executions.
+constexpr uint32_t kMaxExtraSends = 3;
 constexpr int kRetryAfterDivisor = 4; // of the caller's remaining time
 
 Refusal
@@ -98,4 +100,14 @@
   return std::nullopt;
 }
 
+bool
+MayRetry(const Exchange& aExchange, TimePoint aNow)
+{
+  const routing::Route& route = aExchange.route;
+  return (!aExchange.mayHaveExecuted || route.RetrySafe()) &&
+         aExchange.executions < route.maxAttempts &&
+         aExchange.sends < route.maxAttempts + kMaxExtraSends &&
+         aExchange.deadline - aNow >= kMinRemainingTime;
+}
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_admission.hpp
+++ b/src/hibiscusnotch/entry/request_admission.hpp
@@ -40,4 +40,9 @@
               const FleetState& aFleet,
               TimePoint aNow);
 
+/// @brief True if the request may be sent once more, by its executions, sends
+/// and time left.
+bool
+MayRetry(const Exchange& aExchange, TimePoint aNow);
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_description.cpp
+++ b/src/hibiscusnotch/entry/request_description.cpp
@@ -1,7 +1,27 @@
 #include "request_description.hpp"
 
+#include "request_traits.hpp"
+
 namespace hibiscusnotch::entry {
 
+namespace {
+
+std::string_view
+OutcomeName(relay::CallOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case relay::CallOutcome::Complete:
+      return "complete";
+    case relay::CallOutcome::NotSent:
+      return "not_sent";
+    case relay::CallOutcome::ConnectionLost:
+      return "broken";
+  }
+  return "broken";
+}
+
+} // namespace
+
 std::string
 FormatMilliseconds(Duration aDuration)
 {
@@ -33,18 +53,21 @@
          FormatMilliseconds(aNow - aFleet.configurationConfirmedAt);
 }
 
-std::string_view
-OutcomeName(relay::CallOutcome aOutcome)
+std::string
+DescribeAttemptEnd(const Exchange& aExchange,
+                   relay::CallOutcome aOutcome,
+                   std::string_view aWhy,
+                   TimePoint aNow)
 {
-  switch (aOutcome) {
-    case relay::CallOutcome::Complete:
-      return "complete";
-    case relay::CallOutcome::NotSent:
-      return "not_sent";
-    case relay::CallOutcome::ConnectionLost:
-      return "broken";
-  }
-  return "broken";
+  const Attempt& attempt = *aExchange.attempt;
+  return DescribeExchange(aExchange, aNow) +
+         " end=" + std::string(OutcomeName(aOutcome)) +
+         " status=" + std::to_string(attempt.head ? attempt.head->status : 0) +
+         " took_ms=" + FormatMilliseconds(aNow - attempt.sentAt) +
+         (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"') +
+         (aOutcome == relay::CallOutcome::ConnectionLost
+            ? " prompt_parts=" + FormatPromptParts(aExchange.traits)
+            : "");
 }
 
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_description.hpp
+++ b/src/hibiscusnotch/entry/request_description.hpp
@@ -21,7 +21,11 @@
 std::string
 DescribeConfiguration(const FleetState& aFleet, TimePoint aNow);
 
-std::string_view
-OutcomeName(relay::CallOutcome aOutcome);
+/// @brief How the current attempt ended.
+std::string
+DescribeAttemptEnd(const Exchange& aExchange,
+                   relay::CallOutcome aOutcome,
+                   std::string_view aWhy,
+                   TimePoint aNow);
 
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -3,10 +3,13 @@
 #include "attempt_planner.hpp"
 #include "attempt_recorder.hpp"
 #include "exchange.hpp"
+#include "forward_call.hpp"
 #include "forward_planner.hpp"
 #include "hibiscusnotch/entry/uplink_guard.hpp"
+#include "quarantine_check.hpp"
 #include "request_admission.hpp"
 #include "request_description.hpp"
+#include "request_queue.hpp"
 #include "request_traits.hpp"
 #include "response_check.hpp"
 #include "response_writer.hpp"
@@ -15,7 +18,6 @@
 #include <cmath>
 #include <map>
 #include <set>
-#include <span>
 
 namespace hibiscusnotch::entry {
 
@@ -32,8 +34,10 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-// Interval at which a waiting request looks for an upstream.
-constexpr Duration kWaitPollInterval{ 40'000 };
+// Interval at which a request looks for the first configuration.
+constexpr Duration kConfigurationPollInterval{ 40'000 };
+// Before a request asks upstreams that refused it once more.
+constexpr Duration kRefusalPause{ 40'000 };
 // How long a request waits for the first configuration; a start takes less.
 constexpr Duration kMaxConfigurationWait{ 900'000 };
 // A request waits for an upstream for at most this fraction of its route's
@@ -47,8 +51,6 @@
 constexpr Duration kRetryAfterElsewhere{ 50'000 }; // another one serves it
 // Keeps requests that crash upstreams away for a while.
 constexpr Duration kRetryAfterQuarantine{ 10'000'000 };
-// Sends beyond the route's attempts, as refused sends are not executions.
-constexpr uint32_t kMaxExtraSends = 3;
 // Responses that are not streams are buffered up to this size.
 constexpr std::size_t kMaxBufferedBodyBytes = 4 * 1024 * 1024;
 // The same for all of them together; the smallest machines have 88 MB.
@@ -60,7 +62,6 @@
 constexpr std::size_t kMaxForwardedRequests = 64;
 // Instances that a request goes to before it is given up.
 constexpr std::size_t kMaxForwards = 4;
-constexpr Duration kForwardConnectTimeout{ 100'000 }; // many round trips
 // Fraction of the retry budget that escalations may use.
 constexpr double kEscalationBudgetShare = 0.85;
 // Fraction that retries of slow attempts may use.
@@ -82,6 +83,13 @@
     , guard_(timers_, client_, fleet_, log_)
     , recorder_(timers_, client_, guard_, fleet_, log_)
     , responses_(aDependencies)
+    , queue_(options_,
+             aDependencies,
+             planner_,
+             { [this](const ExchangeKey& aKey) { OnTurn(aKey); },
+               [this](const ExchangeKey& aKey, Duration aRetryAfter) {
+                 OnTooLate(aKey, aRetryAfter);
+               } })
     , forwards_(options_.instanceName, options_.zone, fleet_)
   {
   }
@@ -140,6 +148,10 @@
 
   std::size_t OpenRequestCount() const override { return exchanges_.size(); }
 
+  std::size_t QueuedRequestCount() const override { return queue_.Size(); }
+
+  Duration OldestQueuedAge() const override { return queue_.OldestAge(); }
+
   void RefuseNewRequests() override { shuttingDown_ = true; }
 
   bool IsCutOff() const override { return guard_.IsCutOff(); }
@@ -195,12 +207,19 @@
       Refuse(aExchange, kUnavailable, Reason::NoConfiguration, kRetryAfterBusy);
       return;
     }
+    CallLater(aExchange, kConfigurationPollInterval, &Router::StartRequest);
+  }
+
+  void CallLater(Exchange& aExchange,
+                 Duration aDelay,
+                 void (Router::*aCall)(Exchange&))
+  {
     const ExchangeKey key = aExchange.key;
-    aExchange.waitTimer = timers_.After(kWaitPollInterval, [this, key] {
+    aExchange.waitTimer = timers_.After(aDelay, [this, key, aCall] {
       const auto found = exchanges_.find(key);
       if (found != exchanges_.end()) {
         found->second.waitTimer = 0;
-        StartRequest(found->second);
+        (this->*aCall)(found->second);
       }
     });
   }
@@ -212,7 +231,7 @@
         !Admit(aExchange)) {
       return;
     }
-    if (IsQuarantined(aExchange)) {
+    if (IsQuarantined(aExchange, options_, fleet_, timers_.Now())) {
       GiveUp(aExchange, Reason::Quarantined, kRetryAfterQuarantine);
       return;
     }
@@ -222,6 +241,13 @@
       }
       return;
     }
+    if (!queue_.IsEmpty() && aExchange.waitTicket == 0 &&
+        !aExchange.responseStarted &&
+        queue_.MustJoin(planner_.ChooseService(aExchange))) {
+      queue_.Join(aExchange); // those ahead of it come first
+      LogQueued(aExchange, Reason::None);
+      return;
+    }
     Reason reason = Reason::NoUpstream;
     const auto chosen =
       planner_.ChooseUpstream(aExchange, aExchange.modelIndex, reason);
@@ -235,57 +261,48 @@
     }
   }
 
-  /// True if a trait of the request is quarantined. Grants the trait's trial if
-  /// one is due: then the request may be sent once.
-  bool IsQuarantined(Exchange& aExchange)
+  void WaitForUpstream(Exchange& aExchange, Reason aReason)
   {
-    routing::CrashEvidence& evidence = fleet_.crashEvidence;
-    if (aExchange.isTrial && aExchange.sends == 0) {
-      return false; // still waits for its only attempt
+    const bool isNew = aExchange.waitTicket == 0;
+    if (isNew) {
+      queue_.Join(aExchange);
     }
-    const auto quarantined =
-      std::ranges::find_if(aExchange.traits, [&](const auto& aTrait) {
-        return evidence.IsQuarantined(aTrait.hash);
-      });
-    if (quarantined == aExchange.traits.end()) {
-      return false;
+    if (const auto refusal = queue_.WaitRefusal(aExchange, aReason)) {
+      GiveUp(aExchange, refusal->reason, refusal->retryAfter);
+      return;
+    }
+    if ((aReason == Reason::NoUpstream || aReason == Reason::RequestLimit) &&
+        !std::exchange(aExchange.tried, {}).empty()) {
+      // Upstreams that refused it may accept it a little later.
+      queue_.Leave(aExchange);
+      CallLater(aExchange, kRefusalPause, &Router::Dispatch);
+      return;
+    }
+    if (isNew) {
+      LogQueued(aExchange, aReason);
     }
-    aExchange.isTrial =
-      aExchange.sends == 0 &&
-      OwnsTrials(fleet_, options_.instanceName, quarantined->hash) &&
-      std::ranges::all_of(aExchange.traits, [&](const auto& aTrait) {
-        return evidence.TryTrial(aTrait.hash, timers_.Now());
-      });
-    return !aExchange.isTrial;
   }
 
-  void WaitForUpstream(Exchange& aExchange, Reason aReason)
+  void LogQueued(const Exchange& aExchange, Reason aReason)
   {
-    const TimePoint now = timers_.Now();
-    if (const auto opening =
-          planner_.NextOpening(aExchange, aExchange.modelIndex)) {
-      const auto turn = TurnAt(aExchange, *opening);
-      if (!turn || *turn > aExchange.waitDeadline) {
-        GiveUp(
-          aExchange, opening->reason, turn ? *turn - now : kRetryAfterBusy);
-        return;
-      }
-    }
-    if (now >= aExchange.waitDeadline || aReason == Reason::ExposureLimit) {
-      GiveUp(aExchange, aReason);
-      return;
+    log_.Write(EventNumber::RequestQueued,
+               Describe(aExchange) + queue_.Describe(aExchange, aReason));
+  }
+
+  void OnTurn(const ExchangeKey& aKey)
+  {
+    const auto found = exchanges_.find(aKey);
+    if (found != exchanges_.end()) {
+      Dispatch(found->second);
     }
-    if (aReason == Reason::NoUpstream || aReason == Reason::RequestLimit) {
-      aExchange.tried.clear(); // upstreams that refused may accept it later
+  }
+
+  void OnTooLate(const ExchangeKey& aKey, Duration aRetryAfter)
+  {
+    const auto found = exchanges_.find(aKey);
+    if (found != exchanges_.end() && !found->second.responseStarted) {
+      GiveUp(found->second, Reason::QueueFull, aRetryAfter);
     }
-    const ExchangeKey key = aExchange.key;
-    aExchange.waitTimer = timers_.After(kWaitPollInterval, [this, key] {
-      const auto found = exchanges_.find(key);
-      if (found != exchanges_.end()) {
-        found->second.waitTimer = 0;
-        Dispatch(found->second);
-      }
-    });
   }
 
   std::size_t ForwardedCount() const
@@ -311,29 +328,10 @@
     }
     aExchange.triedPeers.push_back(*peer);
     ++forwardCount_;
-    Attempt attempt;
-    attempt.peer = *peer;
-    attempt.upstreamName = "via:" + *peer;
+    Attempt attempt = MakeForwardAttempt(aExchange, *peer, now);
     attempt.service = planner_.ChooseService(aExchange);
-    attempt.sentAt = now;
-    attempt.resumed = aExchange.responseStarted;
-    attempt.eventsBefore = aExchange.events.EventCount();
-    ForwardMetadata metadata;
-    // Without the margin, so that the other instance's final response is in
-    // time.
-    metadata.timeLeft = aExchange.deadline - now;
-    metadata.executions = aExchange.executions;
-    if (aExchange.responseStarted) {
-      metadata.resumeAfter = aExchange.events.LastId();
-    }
-    relay::OutboundCall call;
-    call.to = fleet_.instances.at(*peer).ForwardEndpoint();
-    call.message =
-      headerCodec_.WriteForwardedRequest(aExchange.request, metadata);
-    call.bodyless = aExchange.request.method == "HEAD";
-    call.connectTimeout = kForwardConnectTimeout;
-    call.probeAfterSilence = SilenceLimit(aExchange);
-    call.maxSilence = MaxSilence(aExchange);
+    relay::OutboundCall call =
+      MakeForwardCall(aExchange, headerCodec_, fleet_.instances.at(*peer), now);
     log_.Write(EventNumber::RequestForwarded,
                Describe(aExchange) + " to=" + *peer +
                  " forwards=" + std::to_string(aExchange.triedPeers.size()));
@@ -346,6 +344,9 @@
                  relay::OutboundCall aCall)
   {
     const ExchangeKey key = aExchange.key;
+    if (aExchange.waitTicket != 0) {
+      queue_.Start(aExchange);
+    }
     relay::CallObserver observer;
     observer.onHead = [this, key](const relay::ResponseHead& aHead) {
       OnHead(key, aHead);
@@ -360,26 +361,6 @@
     aExchange.attempt = std::move(aAttempt);
   }
 
-  /// When the request's turn comes after those that have waited longer for the
-  /// same opening; nothing if this instance gets none.
-  std::optional<TimePoint> TurnAt(const Exchange& aExchange,
-                                  const routing::Opening& aOpening) const
-  {
-    if (aOpening.at == TimePoint::max()) {
-      return std::nullopt;
-    }
-    const std::string service = planner_.ChooseService(aExchange);
-    const auto ahead =
-      std::ranges::count_if(exchanges_, [&](const auto& aEntry) {
-        const Exchange& other = aEntry.second;
-        return other.waitTimer != 0 && other.key != aExchange.key &&
-               other.arrivedAt <= aExchange.arrivedAt &&
-               planner_.ChooseService(other) == service;
-      });
-    return std::max(aOpening.at, timers_.Now()) +
-           core::FromSeconds(static_cast<double>(ahead) / aOpening.perSecond);
-  }
-
   void Send(Exchange& aExchange, UpstreamId aUpstream)
   {
     const TimePoint now = timers_.Now();
@@ -495,6 +476,7 @@
     if (!IsValidSuccess(exchange, attempt)) {
       return; // handled once the response is complete
     }
+    queue_.RecordResponseTime(exchange, timers_.Now() - attempt.sentAt);
     recorder_.MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       recorder_.RecordSuccess(exchange, attempt);
@@ -519,7 +501,7 @@
                                          load);
     if (!next || !aExchange.route.RetrySafe() ||
         aExchange.executions >= aExchange.route.maxAttempts ||
-        IsQuarantined(aExchange)) {
+        IsQuarantined(aExchange, options_, fleet_, timers_.Now())) {
       return false;
     }
     const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
@@ -639,15 +621,8 @@
     }
     Exchange& exchange = found->second;
     const Attempt attempt = *exchange.attempt;
-    log_.Write(
-      EventNumber::AttemptEnded,
-      Describe(exchange) + " end=" + std::string(OutcomeName(aOutcome)) +
-        " status=" + std::to_string(attempt.head ? attempt.head->status : 0) +
-        " took_ms=" + FormatMilliseconds(timers_.Now() - attempt.sentAt) +
-        (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"') +
-        (aOutcome == CallOutcome::ConnectionLost
-           ? " prompt_parts=" + FormatPromptParts(exchange.traits)
-           : ""));
+    log_.Write(EventNumber::AttemptEnded,
+               DescribeAttemptEnd(exchange, aOutcome, aWhy, timers_.Now()));
     EndAttempt(exchange);
     exchange.lastModel = attempt.model;
     exchange.lastVersion = attempt.softwareVersion;
@@ -773,13 +748,7 @@
   /// @param aMayHaveExecuted True if the last attempt may have been executed.
   void Retry(Exchange& aExchange, Reason aReason, bool aMayHaveExecuted)
   {
-    const routing::Route& route = aExchange.route;
-    const bool allowed =
-      (!aExchange.mayHaveExecuted || route.RetrySafe()) &&
-      aExchange.executions < route.maxAttempts &&
-      aExchange.sends < route.maxAttempts + kMaxExtraSends &&
-      aExchange.deadline - timers_.Now() >= kMinRemainingTime;
-    if (!allowed) {
+    if (!MayRetry(aExchange, timers_.Now())) {
       GiveUp(aExchange, aReason);
       return;
     }
@@ -894,6 +863,9 @@
     EndAttempt(aExchange);
     timers_.Cancel(aExchange.deadlineTimer);
     timers_.Cancel(aExchange.waitTimer);
+    if (aExchange.waitTicket != 0) {
+      queue_.Leave(aExchange);
+    }
     exchanges_.erase(aExchange.key);
   }
 
@@ -907,6 +879,7 @@
   UplinkGuard guard_;
   AttemptRecorder recorder_;
   ResponseWriter responses_;
+  RequestQueue queue_;
   ForwardPlanner forwards_;
   std::map<ExchangeKey, Exchange> exchanges_;
   std::map<std::string, routing::RetryBudget> retryBudgets_;
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -23,6 +23,7 @@
 UpstreamId
 UpstreamTable::Apply(const UpstreamEntry& aEntry, TimePoint aNow)
 {
+  NotifyCapacity();
   const auto known = byName_.find(aEntry.name);
   if (known != byName_.end()) {
     Upstream& upstream = rows_.at(known->second);
@@ -139,6 +140,7 @@
   const bool changed =
     std::exchange(upstream->requestLimit, aPerSecond) != aPerSecond;
   limitChanges_ += changed ? 1 : 0;
+  NotifyCapacity();
   return changed;
 }
 
@@ -167,6 +169,7 @@
 {
   if (Upstream* upstream = Find(aId)) {
     upstream->pacer.SetRate(aPerSecond, aNow);
+    NotifyCapacity();
   }
 }
 
@@ -251,6 +254,7 @@
 {
   if (Upstream* upstream = Find(aId); upstream && upstream->inFlight > 0) {
     --upstream->inFlight;
+    NotifyCapacity();
   }
 }
 
@@ -316,6 +320,7 @@
 void
 UpstreamTable::ForgiveFailures()
 {
+  NotifyCapacity();
   for (auto& [id, upstream] : rows_) {
     if (upstream.consecutiveFailures > 0) {
       upstream.consecutiveFailures = 0;
@@ -335,6 +340,7 @@
     upstream->peerRequests = aRequests;
     upstream->peerPendingTokens = aPendingTokens;
     upstream->peerReportAt = aNow;
+    NotifyCapacity();
   }
 }
 
