--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -69,6 +69,7 @@
   RequestForwarded = 729,
   ServiceBrittle = 730,
   UpstreamLoadUnreadable = 740,
+  RequestQueued = 741,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hibiscusnotch::routing {
 
@@ -142,6 +143,13 @@
   std::optional<UpstreamId> FindByName(std::string_view aName) const;
   const std::map<UpstreamId, Upstream>& Rows() const { return rows_; }
 
+  /// @brief Sets what is called when an upstream may take requests that it did
+  /// not take before; empty for nothing.
+  void SetCapacityObserver(std::function<void()> aObserver)
+  {
+    capacityObserver_ = std::move(aObserver);
+  }
+
   void RecordSend(UpstreamId aId, double aPromptTokens, TimePoint aNow);
   /// @brief The upstream has read the prompt.
   void RecordFirstOutput(UpstreamId aId, double aPromptTokens);
@@ -219,6 +227,12 @@
     TimePoint at{};
   };
 
+  void NotifyCapacity() const
+  {
+    if (capacityObserver_) {
+      capacityObserver_();
+    }
+  }
   void RecordDeparted(const Upstream& aUpstream, TimePoint aNow);
   void UpdateSpeeds(TimePoint aNow);
   void ApplyDeparted(Upstream& aUpstream, TimePoint aNow) const;
@@ -235,6 +249,7 @@
   SpeedSums meanResponse_;
   uint64_t unreadableLoads_ = 0; ///< Since the last log line.
   std::optional<TimePoint> unreadableLoadLoggedAt_;
+  std::function<void()> capacityObserver_;
 };
 
 } // namespace hibiscusnotch::routing
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -88,6 +88,7 @@
   EventDescription{ UpstreamLoadUnreadable,
                     LogLevel::Warning,
                     "upstream_load_unreadable" },
+  EventDescription{ RequestQueued, LogLevel::Info, "request_queued" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -27,6 +27,7 @@
 UpstreamId
 UpstreamTable::Apply(const UpstreamEntry& aEntry, TimePoint aNow)
 {
+  NotifyCapacity();
   const auto known = byName_.find(aEntry.name);
   if (known != byName_.end()) {
     Upstream& upstream = rows_.at(known->second);
@@ -143,6 +144,7 @@
   const bool changed =
     std::exchange(upstream->requestLimit, aPerSecond) != aPerSecond;
   limitChanges_ += changed ? 1 : 0;
+  NotifyCapacity();
   return changed;
 }
 
@@ -171,6 +173,7 @@
 {
   if (Upstream* upstream = Find(aId)) {
     upstream->pacer.SetRate(aPerSecond, aNow);
+    NotifyCapacity();
   }
 }
 
@@ -255,6 +258,7 @@
 {
   if (Upstream* upstream = Find(aId); upstream && upstream->inFlight > 0) {
     --upstream->inFlight;
+    NotifyCapacity();
   }
 }
 
@@ -403,6 +407,7 @@
 void
 UpstreamTable::ForgiveFailures()
 {
+  NotifyCapacity();
   for (auto& [id, upstream] : rows_) {
     if (upstream.consecutiveFailures > 0) {
       upstream.consecutiveFailures = 0;
@@ -422,6 +427,7 @@
     upstream->peerRequests = aRequests;
     upstream->peerPendingTokens = aPendingTokens;
     upstream->peerReportAt = aNow;
+    NotifyCapacity();
   }
 }
 
