Bound the memory of responses that wait for slow callers

500 callers that stop reading could hold 256 KB each. The kernel's send buffers are bounded as well, and buffers drop what was sent.

An exchange whose caller is closed while an event is written was read after its removal; its key is now copied first.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -68,6 +68,7 @@
   UplinksRegained = 728,
   RequestForwarded = 729,
   ServiceBrittle = 730,
+  SlowReaderEnded = 740,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -9,6 +9,7 @@
 #include "hibiscusnotch/entry/request_router.hpp"
 #include "hibiscusnotch/entry/store_codec.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,6 +36,8 @@
   Duration shutdownGrace{ 8'000'000 };
   routing::RolloutOptions rollouts;
   RouterOptions router;
+  /// @brief Unsent bytes of all responses together; zero for no bound.
+  std::size_t unsentBudgetBytes = 0;
   FleetSyncOptions sync;
 };
 
--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -11,6 +11,7 @@
 #include "hibiscusnotch/routing/model_cascade.hpp"
 #include "hibiscusnotch/routing/retry_budget.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -33,6 +34,9 @@
   /// @brief Upstreams end when their requests exceed their memory, and callers
   /// may read slowly.
   bool memoryPressure = false;
+  /// @brief Bytes of one response that may wait for a slow caller; above it,
+  /// the upstream is paused.
+  std::size_t maxUnsentBytes = std::size_t{ 256 } * 1024;
 };
 
 /// @brief Collaborators; all must outlive the router.
--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -35,6 +35,7 @@
   StoreEra,
   UplinksLost,
   LimitedUpstreams,
+  UnsentBytes,
 };
 
 enum class Counter
@@ -47,6 +48,7 @@
   MeshBytesSent,
   MeshBytesReceived,
   ForwardedRequests,
+  SlowReadersEnded,
 };
 
 /// @brief Histograms and counters by organisation and request class, and gauges
--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
 #include "hibiscusnotch/relay/http_reader.hpp"
+#include "hibiscusnotch/relay/unsent_budget.hpp"
 
 #include <functional>
 #include <memory>
@@ -75,10 +76,12 @@
 };
 
 /// @brief Starts to listen; throws if the endpoint cannot be bound.
+/// @param aBudget Bounds the unsent bytes, if given; must outlive the listener.
 std::unique_ptr<Listener>
 MakeListener(boost::asio::io_context& aContext,
              Timers& aTimers,
              ListenerOptions aOptions,
-             ListenerObserver aObserver);
+             ListenerObserver aObserver,
+             UnsentBudget* aBudget = nullptr);
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -85,6 +85,7 @@
   EventDescription{ UplinksRegained, LogLevel::Info, "uplinks_regained" },
   EventDescription{ RequestForwarded, LogLevel::Info, "request_forwarded" },
   EventDescription{ ServiceBrittle, LogLevel::Warning, "service_brittle" },
+  EventDescription{ SlowReaderEnded, LogLevel::Warning, "slow_reader_ended" },
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -81,17 +81,26 @@
                                   fleet_,
                                   log_,
                                   *metrics_ }))
+    , unsentBudget_(
+        options_.unsentBudgetBytes,
+        [this](const relay::EndedExchange& aEnded) {
+          log_.Write(EventNumber::SlowReaderEnded,
+                     "bytes=" + std::to_string(aEnded.bytes) + " unread_ms=" +
+                       std::to_string(aEnded.unread.count() / 1000));
+        })
     , callerListener_(
         relay::MakeListener(aContext,
                             *timers_,
                             ListenerOptionsFor(options_.callerEndpoint),
-                            RequestObserver(RequestOrigin::Caller)))
+                            RequestObserver(RequestOrigin::Caller),
+                            &unsentBudget_))
     , forwardListener_(relay::MakeListener(
         aContext,
         *timers_,
         ListenerOptionsFor(
           InstanceInfo{ options_.peerEndpoint, {}, 0 }.ForwardEndpoint()),
-        RequestObserver(RequestOrigin::Instance)))
+        RequestObserver(RequestOrigin::Instance),
+        &unsentBudget_))
     , readinessListener_(
         relay::MakeListener(aContext,
                             *timers_,
@@ -307,6 +316,10 @@
                     })));
     metrics_->RaiseTo(observe::Counter::ForwardedRequests,
                       router_->ForwardCount());
+    metrics_->Set(observe::Gauge::UnsentBytes,
+                  static_cast<double>(unsentBudget_.HeldBytes()));
+    metrics_->RaiseTo(observe::Counter::SlowReadersEnded,
+                      unsentBudget_.EndedCount());
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
@@ -319,6 +332,7 @@
   std::unique_ptr<observe::Metrics> metrics_;
   EventLog log_;
   std::unique_ptr<RequestRouter> router_;
+  relay::UnsentBudget unsentBudget_;
   std::unique_ptr<relay::Listener> callerListener_;
   std::unique_ptr<relay::Listener> forwardListener_;
   std::unique_ptr<relay::Listener> readinessListener_;
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -62,9 +62,6 @@
 constexpr std::size_t kMaxBufferedBodyBytes = 4 * 1024 * 1024;
 // The same for all of them together; the smallest machines have 88 MB.
 constexpr std::size_t kMaxBufferedBytes = 16 * 1024 * 1024;
-// Bytes of one response that may wait for a slow caller; above it, the
-// upstream is paused.
-constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
 // Of other instances' callers, so that this instance's own are not starved.
 constexpr std::size_t kMaxForwardedRequests = 64;
 // Instances that a request goes to before it is given up.
@@ -898,12 +895,12 @@
 
   void ForwardEvents(Exchange& aExchange, const std::string& aEvents)
   {
+    const ExchangeKey key = aExchange.key;
     StartResponse(aExchange);
-    ListenerOf(aExchange.key).Write(aExchange.key.id, aEvents);
-    const auto still = exchanges_.find(aExchange.key);
+    ListenerOf(key).Write(key.id, aEvents); // may remove the exchange
+    const auto still = exchanges_.find(key);
     if (still != exchanges_.end() && still->second.attempt &&
-        ListenerOf(still->first).UnsentBytes(still->first.id) >
-          kMaxUnsentBytes) {
+        ListenerOf(key).UnsentBytes(key.id) > options_.maxUnsentBytes) {
       still->second.paused = true;
       client_.SetPaused(still->second.attempt->call, true);
     }
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -42,6 +42,8 @@
                      "1 while no upstream can be reached" },
   MetricDescription{ "hibiscusnotch_limited_upstreams",
                      "Upstreams that state a limit on their requests" },
+  MetricDescription{ "hibiscusnotch_unsent_bytes",
+                     "Bytes held for callers that have not read them" },
 };
 constexpr std::array kCounters{
   MetricDescription{ "hibiscusnotch_attempts_total",
@@ -60,6 +62,9 @@
                      "Bytes of messages received from other instances" },
   MetricDescription{ "hibiscusnotch_forwarded_requests_total",
                      "Requests sent through another instance" },
+  MetricDescription{ "hibiscusnotch_slow_readers_ended_total",
+                     "Exchanges ended as the budget of unsent bytes was used "
+                     "up" },
 };
 
 const prometheus::Histogram::BucketBoundaries kLatencyBucketsSeconds{
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
 #include <unordered_map>
 
 namespace hibiscusnotch::relay {
@@ -19,6 +20,14 @@
 // request that is already in flight is still answered.
 constexpr Duration kDrainIdleTimeout{ 1'000'000 };
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+// Sent bytes at the front of a buffer are dropped from this size on, and empty
+// buffers of this size are freed.
+constexpr std::size_t kMaxIdleBufferBytes = 64 * 1024;
+
+// Of each client's socket if unsent bytes are bounded: the kernel's buffers
+// take the machine's memory too and grow to megabytes for each slow client. It
+// is doubled by the kernel, and enough for 30 MB/s at a round trip of 1 ms.
+constexpr int kBoundedSendBufferBytes = 16 * 1024;
 
 enum class Phase
 {
@@ -51,6 +60,7 @@
   bool continueSent = false;
   bool bodyStarted = false;
   TimerId timer = 0;
+  std::optional<UnsentBudget::HolderId> holder; ///< While bytes are unsent.
 };
 
 std::string_view
@@ -74,10 +84,12 @@
   TcpListener(boost::asio::io_context& aContext,
               Timers& aTimers,
               ListenerOptions aOptions,
-              ListenerObserver aObserver)
+              ListenerObserver aObserver,
+              UnsentBudget* aBudget)
     : timers_(aTimers)
     , options_(std::move(aOptions))
     , observer_(std::move(aObserver))
+    , budget_(aBudget)
     , acceptor_(aContext)
     , context_(aContext)
   {
@@ -96,6 +108,7 @@
   {
     for (auto& [id, connection] : connections_) {
       timers_.Cancel(connection.timer);
+      ReleaseUnsent(connection);
     }
   }
 
@@ -145,6 +158,7 @@
       connection->out.append(aBytes);
     }
     Flush(ConnectionOf(aId));
+    AccountUnsent(ConnectionOf(aId));
   }
 
   void Finish(ExchangeId aId) override
@@ -264,6 +278,11 @@
         return;
       }
       PrepareSocket(socket);
+      if (budget_ && budget_->IsBounded()) {
+        socket.set_option(
+          boost::asio::socket_base::send_buffer_size(kBoundedSendBufferBytes),
+          error);
+      }
       const ConnectionId id = ++lastConnection_;
       Connection& connection =
         connections_.try_emplace(id, std::move(socket)).first->second;
@@ -413,6 +432,7 @@
       return;
     }
     boost::system::error_code error;
+    const std::size_t writtenBefore = connection->written;
     if (!WriteSome(
           connection->socket, connection->out, connection->written, error)) {
       if (error) {
@@ -435,10 +455,20 @@
                                         }
                                       }
                                     });
+      if (budget_ && connection->holder &&
+          connection->written > writtenBefore) {
+        budget_->RecordProgress(*connection->holder, timers_.Now());
+      }
+      DropSentBytes(*connection);
+      AccountUnsent(aId);
       return;
     }
     connection->out.clear();
     connection->written = 0;
+    if (connection->out.capacity() >= kMaxIdleBufferBytes) {
+      connection->out.shrink_to_fit();
+    }
+    ReleaseUnsent(*connection);
     if (connection->phase == Phase::Lingering) {
       boost::system::error_code ignored;
       connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -452,6 +482,40 @@
     }
   }
 
+  /// Keeps the buffer of a client that reads slowly from growing by what it has
+  /// received already.
+  static void DropSentBytes(Connection& aConnection)
+  {
+    if (aConnection.written >= kMaxIdleBufferBytes &&
+        aConnection.written * 2 >= aConnection.out.size()) {
+      aConnection.out = aConnection.out.substr(aConnection.written);
+      aConnection.written = 0;
+    }
+  }
+
+  /// Counts the connection's buffer against the budget, which may close this
+  /// connection or others.
+  void AccountUnsent(ConnectionId aId)
+  {
+    Connection* connection = Find(aId);
+    if (!budget_ || !connection ||
+        connection->written >= connection->out.size()) {
+      return;
+    }
+    const TimePoint now = timers_.Now();
+    if (!connection->holder) {
+      connection->holder = budget_->Add([this, aId] { Close(aId, true); }, now);
+    }
+    budget_->SetHeld(*connection->holder, connection->out.capacity(), now);
+  }
+
+  void ReleaseUnsent(Connection& aConnection)
+  {
+    if (budget_ && aConnection.holder) {
+      budget_->Remove(*std::exchange(aConnection.holder, std::nullopt));
+    }
+  }
+
   void Close(ConnectionId aId, bool aReset)
   {
     auto node = connections_.extract(aId);
@@ -460,6 +524,7 @@
     }
     Connection& connection = node.mapped();
     timers_.Cancel(connection.timer);
+    ReleaseUnsent(connection);
     boost::system::error_code ignored;
     if (aReset) {
       connection.socket.set_option(boost::asio::socket_base::linger(true, 0),
@@ -475,6 +540,7 @@
   Timers& timers_;
   ListenerOptions options_;
   ListenerObserver observer_;
+  UnsentBudget* budget_;
   tcp::acceptor acceptor_;
   boost::asio::io_context& context_;
   std::unordered_map<ConnectionId, Connection> connections_;
@@ -492,10 +558,11 @@
 MakeListener(boost::asio::io_context& aContext,
              Timers& aTimers,
              ListenerOptions aOptions,
-             ListenerObserver aObserver)
+             ListenerObserver aObserver,
+             UnsentBudget* aBudget)
 {
   return std::make_unique<TcpListener>(
-    aContext, aTimers, std::move(aOptions), std::move(aObserver));
+    aContext, aTimers, std::move(aOptions), std::move(aObserver), aBudget);
 }
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/testing/fake_listener.hpp
+++ b/src/hibiscusnotch/testing/fake_listener.hpp
@@ -4,7 +4,9 @@
 
 #include "hibiscusnotch/relay/listener.hpp"
 
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace hibiscusnotch::testing {
@@ -39,6 +41,12 @@
   void Write(relay::ExchangeId aId, std::string_view aBytes) override
   {
     answers[aId].body.append(aBytes);
+    if (stalled.contains(aId)) {
+      pending[aId] += aBytes.size();
+      if (onPending) {
+        onPending(aId);
+      }
+    }
   }
   void Finish(relay::ExchangeId aId) override { answers[aId].finished = true; }
   void Abort(relay::ExchangeId aId) override { answers[aId].aborted = true; }
@@ -57,6 +65,9 @@
 
   std::map<relay::ExchangeId, RecordedResponse> answers;
   std::map<relay::ExchangeId, std::size_t> pending;
+  std::set<relay::ExchangeId> stalled; ///< Their clients have stopped reading.
+  /// @brief Called as bytes for a stalled client become pending.
+  std::function<void(relay::ExchangeId)> onPending;
 };
 
 } // namespace hibiscusnotch::testing
