--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -70,6 +70,7 @@
   ServiceBrittle = 730,
   UpstreamLoadUnreadable = 740,
   RequestQueued = 741,
+  SlowReaderEnded = 742,
   ObjectUnreadable = 722,
 };
 
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -89,6 +89,7 @@
                     LogLevel::Warning,
                     "upstream_load_unreadable" },
   EventDescription{ RequestQueued, LogLevel::Info, "request_queued" },
+  EventDescription{ SlowReaderEnded, LogLevel::Warning, "slow_reader_ended" },
 };
 
 } // namespace
