Weigh cached prompt prefixes against the load of upstreams

Under memory pressure and with stated memory, a candidate's cost is reduced by the tokens that are likely cached there, now and for later prompts, less those that a further copy displaces. Other deployments choose as before. The events of sent attempts end with the expected number of cached tokens.

--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -6,6 +6,7 @@
 #include "hibiscusnotch/routing/cold_start_share.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
+#include "hibiscusnotch/routing/prompt_cache.hpp"
 #include "hibiscusnotch/routing/rollout.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
@@ -46,6 +47,7 @@
   bool upstreamsKnown = false;
   routing::UpstreamTable upstreams;
   std::set<std::string, std::less<>> evacuatedZones;
+  routing::PromptCache promptCache; ///< Of upstreams whose memory is stated.
   routing::Rollouts rollouts;
   std::map<std::string, InstanceInfo> instances;
   uint64_t membership = 0;     ///< Rises with each change of the instances.
--- a/include/hibiscusnotch/routing/placement.hpp
+++ b/include/hibiscusnotch/routing/placement.hpp
@@ -41,8 +41,23 @@
   /// @brief This instance's share of the slots of a brittle upstream; nothing
   /// if it is not brittle.
   std::function<std::optional<uint32_t>(const Upstream&)> slotShare = {};
+  /// @brief True if the part of a prompt that an upstream has cached is weighed
+  /// against its load. Otherwise the first owner is assumed to cache all of it.
+  bool weighsPromptCache = false;
+  /// @brief Prompt tokens of the request that are likely not to be prefilled
+  /// again at the upstream, by its place in the rendezvous order of the prefix;
+  /// nothing if it is not among the first owners. Used if weighsPromptCache.
+  std::function<double(UpstreamId, const Upstream&, std::optional<std::size_t>)>
+    savedTokens = {};
 };
 
+/// @brief The upstream's place among the owners of the prompt prefix in this
+/// zone; nothing if it is not among the first PromptCache::kMaxOwners.
+std::optional<std::size_t>
+CacheOwnerRank(const PlacementContext& aContext,
+               const PlacementRequest& aRequest,
+               UpstreamId aId);
+
 /// @brief True if the upstream may get a new request now.
 bool
 IsEligible(const PlacementContext& aContext,
--- a/include/hibiscusnotch/routing/prompt_cache.hpp
+++ b/include/hibiscusnotch/routing/prompt_cache.hpp
@@ -37,7 +37,17 @@
   uint64_t memoryTokens = 0;
 };
 
-/// @brief A prompt whose cached part is looked up at many upstreams.
+/// @brief An upstream that was sent a prefix.
+struct PrefixHolder
+{
+  UpstreamId upstream;
+  int64_t incarnation = 0;
+  double position = 0; ///< Tokens prefilled there when it was sent.
+  TimePoint sentAt{};
+};
+
+/// @brief A prompt's shared segments as looked up in a cache. Valid until the
+/// next send is recorded there.
 struct PromptChain
 {
   /// @brief The chain's prefix that ends with a segment.
@@ -45,6 +55,7 @@
   {
     uint64_t hash = 0; ///< Of the model and all segments up to this one.
     double tokens = 0; ///< Of this segment alone.
+    std::span<const PrefixHolder> holders;
   };
   std::vector<Prefix> prefixes;
   double sharedTokens = 0; ///< Of all segments.
@@ -92,8 +103,8 @@
   /// @brief Rendezvous owners of a prefix that may cache it.
   static constexpr std::size_t kMaxOwners = 4;
 
-  static PromptChain MakeChain(std::string_view aModel,
-                               std::span<const SharedSegment> aSegments);
+  PromptChain LookUp(std::string_view aModel,
+                     std::span<const SharedSegment> aSegments) const;
 
   /// @param aOwnerRank The upstream's place in the rendezvous order of the
   /// longest prefix; nothing if it is not among the first kMaxOwners.
@@ -108,7 +119,9 @@
                               std::span<const SharedSegment> aSegments,
                               TimePoint aNow) const;
 
-  /// @brief The forecast's tokens, less the memory that a further copy takes.
+  /// @brief The tokens that are saved by sending the prompt to the upstream:
+  /// now and, at an owner, later, less those that a copy elsewhere displaces.
+  /// May be negative.
   double SavedTokens(const CachingUpstream& aUpstream,
                      const PromptChain& aChain,
                      std::optional<std::size_t> aOwnerRank,
@@ -148,15 +161,7 @@
   std::size_t PrefixCount() const { return recent_.size() + former_.size(); }
 
 private:
-  /// An upstream that was sent a prefix.
-  struct Holder
-  {
-    UpstreamId upstream;
-    int64_t incarnation = 0;
-    double position = 0; ///< Tokens prefilled there when it was sent.
-    TimePoint sentAt{};
-  };
-  using Holders = std::vector<Holder>;
+  using Holders = std::vector<PrefixHolder>;
 
   /// Tokens prefilled at one upstream by all instances of the zone.
   struct Progress
@@ -183,10 +188,16 @@
     double secondsPerToken = 0;
   };
 
+  /// Tokens that a stored token saves on average.
+  double SavedPerStored() const;
   double PrefilledTokens(const Progress& aProgress, TimePoint aNow) const;
+  /// Probability that a prefix which this instance sent is still cached.
+  double OwnProbability(const PrefixHolder& aHolder,
+                        const CachingUpstream& aUpstream,
+                        TimePoint aNow) const;
   Progress& ProgressOf(const CachingUpstream& aUpstream, TimePoint aNow);
-  const Holder* FindHolder(uint64_t aHash, UpstreamId aUpstream) const;
-  void RecordHolder(uint64_t aHash, const Holder& aHolder);
+  std::span<const PrefixHolder> HoldersOf(uint64_t aHash) const;
+  void RecordHolder(uint64_t aHash, const PrefixHolder& aHolder);
   std::optional<Timing> TimingOf(std::string_view aModel) const;
   void LearnTiming(const SentPrompt& aPrompt, Duration aTook);
 
@@ -199,6 +210,8 @@
   std::array<double, kMaxOwners> ownerProbability_{ 0.5, 0.25, 0.125, 0.0625 };
   double endedTokens_ = 0;  ///< Prefilled by attempts that ended.
   double endedSeconds_ = 0; ///< Time in flight of the same attempts.
+  double cachedTokens_ = 0; ///< Of the latest prompts, expected.
+  double storedTokens_ = 0; ///< Of the same prompts, prefilled.
   double expectedTotal_ = 0;
   double missedTotal_ = 0;
 };
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -224,13 +224,71 @@
            } };
 }
 
+std::optional<uint64_t>
+AttemptPlanner::WeighedMemory(std::string_view aService) const
+{
+  if (!options_.memoryPressure || !fleet_.configuration) {
+    return std::nullopt;
+  }
+  const routing::Service* service = fleet_.configuration->FindService(aService);
+  return service && service->engine ? service->engine->memoryTokens
+                                    : std::nullopt;
+}
+
+routing::PromptChain
+AttemptPlanner::LookUpPrompt(const Exchange& aExchange,
+                             std::string_view aModel) const
+{
+  const auto& segments = aExchange.metadata.promptSegments;
+  std::vector<routing::SharedSegment> shared;
+  for (std::size_t index = 0; index + 1 < segments.size(); ++index) {
+    shared.push_back({ segments[index].id, segments[index].tokens });
+  }
+  return fleet_.promptCache.LookUp(aModel, shared);
+}
+
+std::optional<routing::SentPrompt>
+AttemptPlanner::RecordPrompt(const Exchange& aExchange,
+                             std::size_t aModelIndex,
+                             core::UpstreamId aUpstream) const
+{
+  const routing::Upstream& upstream = *fleet_.upstreams.Find(aUpstream);
+  const auto memory = WeighedMemory(upstream.entry.service);
+  if (!memory) {
+    return std::nullopt;
+  }
+  const auto plan = MakePlan(aExchange, aModelIndex);
+  const routing::PlacementContext context = Context();
+  return fleet_.promptCache.RecordSend(
+    { aUpstream, upstream.entry.incarnation, *memory },
+    plan->model,
+    LookUpPrompt(aExchange, plan->model),
+    routing::CacheOwnerRank(context, plan->request, aUpstream),
+    aExchange.metadata.promptTokens,
+    routing::UpstreamTable::PendingTokens(upstream, context.now),
+    context.now);
+}
+
 std::optional<core::UpstreamId>
 AttemptPlanner::ChooseUpstream(const Exchange& aExchange,
                                std::size_t aModelIndex,
                                core::Reason& aLastReason) const
 {
   const auto plan = MakePlan(aExchange, aModelIndex);
-  const routing::PlacementContext context = Context();
+  routing::PlacementContext context = Context();
+  const auto memory = WeighedMemory(plan->service);
+  routing::PromptChain chain;
+  if (memory && !plan->request.affinityKey.empty()) {
+    chain = LookUpPrompt(aExchange, plan->model);
+    context.weighsPromptCache = true;
+    context.savedTokens = [this, &chain, memory = *memory, now = context.now](
+                            core::UpstreamId aId,
+                            const routing::Upstream& aUpstream,
+                            std::optional<std::size_t> aOwnerRank) {
+      return fleet_.promptCache.SavedTokens(
+        { aId, aUpstream.entry.incarnation, memory }, chain, aOwnerRank, now);
+    };
+  }
   if (plan->constraint.exposureUsedUp) {
     routing::PlacementRequest other = plan->request;
     other.requiredVersion = {};
--- a/src/hibiscusnotch/entry/attempt_planner.hpp
+++ b/src/hibiscusnotch/entry/attempt_planner.hpp
@@ -48,6 +48,14 @@
   /// none.
   double ServiceLoad(std::string_view aService) const;
 
+  /// @brief Records that the request's prompt is sent to the upstream. Call
+  /// before the send itself is recorded. Nothing if the service's upstreams are
+  /// not chosen by what they have cached.
+  std::optional<routing::SentPrompt> RecordPrompt(
+    const Exchange& aExchange,
+    std::size_t aModelIndex,
+    core::UpstreamId aUpstream) const;
+
   /// @brief Records the version that the request's session is on.
   void RecordSessionVersion(const Exchange& aExchange,
                             const Attempt& aAttempt) const;
@@ -62,6 +70,12 @@
     routing::PlacementRequest request; ///< Refers to the other members.
   };
 
+  /// The memory of the service's upstreams if their prompt caches are weighed.
+  std::optional<uint64_t> WeighedMemory(std::string_view aService) const;
+  /// The prompt's shared segments as this instance has sent them.
+  routing::PromptChain LookUpPrompt(const Exchange& aExchange,
+                                    std::string_view aModel) const;
+
   std::unique_ptr<Plan> MakePlan(const Exchange& aExchange,
                                  std::size_t aModelIndex) const;
   routing::PlacementContext Context() const;
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -9,6 +9,7 @@
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
+#include "hibiscusnotch/routing/prompt_cache.hpp"
 
 #include <compare>
 #include <optional>
@@ -38,6 +39,8 @@
   std::string model;
   TimePoint sentAt{};
   double promptTokens = 0;
+  /// @brief Nothing if the prompt cache is not weighed.
+  std::optional<routing::SentPrompt> sentPrompt;
   bool promptUnread = true; ///< The upstream has not read the prompt yet.
   bool resumed = false;
   std::size_t eventsBefore = 0; ///< Events of the stream's former attempts.
--- a/src/hibiscusnotch/entry/load_aggregator.cpp
+++ b/src/hibiscusnotch/entry/load_aggregator.cpp
@@ -117,6 +117,7 @@
     const UpstreamLoad& peers = load == aTotal.end() ? none : load->second;
     aFleet.upstreams.RecordPeerLoad(
       id, peers.requests, peers.promptTokens, aNow);
+    aFleet.promptCache.RecordPeerRequests(id, peers.requests, aNow);
   }
 }
 
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -116,6 +116,16 @@
   return text;
 }
 
+/// Nothing if the prompt names no shared segments.
+std::string
+FormatCachedTokens(const Attempt& aAttempt)
+{
+  const auto& prompt = aAttempt.sentPrompt;
+  return prompt && prompt->sharedTokens > 0
+           ? " cached=" + std::to_string(std::lround(prompt->forecast.tokens))
+           : "";
+}
+
 std::string_view
 ReasonPhrase(int aStatus)
 {
@@ -538,6 +548,8 @@
     attempt.model = ModelName(aExchange, aExchange.modelIndex);
     attempt.sentAt = now;
     attempt.promptTokens = aExchange.metadata.promptTokens;
+    attempt.sentPrompt =
+      planner_.RecordPrompt(aExchange, aExchange.modelIndex, aUpstream);
     attempt.resumed = aExchange.responseStarted;
     attempt.eventsBefore = aExchange.events.EventCount();
     AttemptMetadata metadata;
@@ -574,7 +586,7 @@
                     ? " limit=" + FormatRate(*upstream.requestLimit) +
                         " own_rate=" + FormatRate(upstream.pacer.Rate())
                     : "") +
-                 ConfigurationAge());
+                 ConfigurationAge() + FormatCachedTokens(attempt));
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
@@ -643,6 +655,10 @@
     MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       RecordSuccess(exchange, attempt);
+      if (attempt.sentPrompt) {
+        fleet_.promptCache.RecordResponse(*attempt.sentPrompt,
+                                          timers_.Now() - attempt.sentAt);
+      }
       if (!exchange.responseStarted && attempt.peer.empty() &&
           Escalate(exchange)) {
         return;
@@ -946,6 +962,10 @@
       planner_.RecordSessionVersion(aExchange, attempt);
     }
     fleet_.upstreams.RecordEnd(attempt.upstream);
+    if (attempt.sentPrompt) {
+      fleet_.promptCache.RecordEnd(*attempt.sentPrompt,
+                                   timers_.Now() - attempt.sentAt);
+    }
     client_.Cancel(attempt.call);
     aExchange.attempt.reset();
   }
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -850,6 +850,58 @@
   CHECK(fixture.client.sent.size() > 110);
 }
 
+TEST_CASE("prompt caches are weighed only where memory is stated and short")
+{
+  // Guards against a change of the choice in earlier deployments, and against
+  // the last segment, which belongs to one request alone, being remembered.
+  for (const bool memoryPressure : { false, true }) {
+    for (const bool memoryStated : { false, true }) {
+      CAPTURE(memoryPressure);
+      CAPTURE(memoryStated);
+      Fixture fixture;
+      routing::Service service;
+      service.name = "app";
+      service.engine.emplace();
+      if (memoryStated) {
+        service.engine->memoryTokens = 10'000;
+      }
+      fixture.configuration.services["app"] = service;
+      fixture.Apply();
+      RouterOptions options;
+      options.instanceName = "self";
+      options.zone = "east";
+      options.memoryPressure = memoryPressure;
+      fixture.router = MakeRequestRouter(options,
+                                         { fixture.timers,
+                                           fixture.client,
+                                           fixture.headerCodec,
+                                           fixture.fleet,
+                                           fixture.log,
+                                           *fixture.metrics });
+      fixture.router->SetListener(RequestOrigin::Caller, fixture.listener);
+      fixture.Request("sized", "good", "3000", "tools manual own");
+      fixture.client.Head(0, fixture.Head(200, { { "confidence", "100" } }));
+      fixture.client.Body(0, "id: 1\ndata: a\n\n");
+      fixture.client.End(0, CallOutcome::Complete);
+      REQUIRE(fixture.client.sent.size() == 1);
+      fixture.Request("sized", "good", "3000", "tools manual own-too");
+      const std::string upstream = fixture.Message(0).substr(0, 2);
+      CHECK(fixture.Message(1).substr(0, 2) == upstream);
+      const routing::PromptCache& cache = fixture.fleet.promptCache;
+      if (!memoryPressure || !memoryStated) {
+        CHECK(cache.PrefixCount() == 0);
+        continue;
+      }
+      CHECK(cache.PrefixCount() == 2);
+      // Half of the first prompt's 200 shared tokens and all of the second's.
+      CHECK(cache.ExpectedTotal() == doctest::Approx(300).epsilon(0.01));
+      fixture.Add(upstream, 2);
+      fixture.Request("sized", "good", "3000", "tools manual own-again");
+      CHECK(cache.ExpectedTotal() < 410); // nothing known of the new process
+    }
+  }
+}
+
 TEST_CASE("an upstream that announces its leaving gets no new request")
 {
   // On any response: a success, a refusal, the head of a stream.
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusnotch/routing/placement.hpp"
 
 #include "hibiscusnotch/core/rendezvous.hpp"
+#include "hibiscusnotch/routing/prompt_cache.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -128,7 +129,7 @@
 CostOf(const Candidate& aCandidate,
        const PlacementContext& aContext,
        const PlacementRequest& aRequest,
-       bool aOwnsCache,
+       double aSavedTokens,
        double aMedianFailureRate,
        const std::set<std::string_view>& aSuspectZones,
        const WorkEstimate& aLocalMean)
@@ -146,7 +147,7 @@
     cost = load * kTokensPerPlainRequest;
   } else {
     cost = pending + load * kTokensPerRunningRequest +
-           (aOwnsCache ? 0 : aRequest.sharedTokens);
+           (aRequest.sharedTokens - aSavedTokens);
     const double free = upstream.entry.slots - load;
     if (free < 1) {
       cost += (1 - free) * 10 * kTokensPerRunningRequest;
@@ -174,7 +175,9 @@
 /// The upstreams of a zone that are expected to cache the prompt prefix: those
 /// with the highest rendezvous weights.
 std::vector<UpstreamId>
-CacheOwners(std::span<const Candidate> aCandidates, std::string_view aZone)
+CacheOwners(std::span<const Candidate> aCandidates,
+            std::string_view aZone,
+            std::size_t aCount)
 {
   std::vector<const Candidate*> local;
   for (const Candidate& candidate : aCandidates) {
@@ -186,14 +189,41 @@
     return aLeft->weight > aRight->weight;
   });
   std::vector<UpstreamId> owners;
-  for (std::size_t rank = 0;
-       rank < std::min(kCacheOwnersPerPrefix, local.size());
-       ++rank) {
+  for (std::size_t rank = 0; rank < std::min(aCount, local.size()); ++rank) {
     owners.push_back(local[rank]->id);
   }
   return owners;
 }
 
+/// Prompt tokens that the candidate does not have to prefill.
+double
+SavedTokens(const PlacementContext& aContext,
+            const PlacementRequest& aRequest,
+            std::span<const UpstreamId> aOwners,
+            const Candidate& aCandidate)
+{
+  const auto owner = std::ranges::find(aOwners, aCandidate.id);
+  const bool isOwner = owner != aOwners.end();
+  if (!aContext.weighsPromptCache) {
+    return isOwner ? aRequest.sharedTokens : 0;
+  }
+  if (aRequest.affinityKey.empty()) {
+    return 0;
+  }
+  return aContext.savedTokens(
+    aCandidate.id,
+    *aCandidate.upstream,
+    isOwner ? std::optional(static_cast<std::size_t>(owner - aOwners.begin()))
+            : std::nullopt);
+}
+
+uint64_t
+AffinityHash(const PlacementRequest& aRequest)
+{
+  return core::MixHash(core::StableHash(aRequest.affinityKey),
+                       core::StableHash(aRequest.model));
+}
+
 } // namespace
 
 namespace {
@@ -320,14 +350,43 @@
   return upstreams;
 }
 
+std::optional<std::size_t>
+CacheOwnerRank(const PlacementContext& aContext,
+               const PlacementRequest& aRequest,
+               UpstreamId aId)
+{
+  const Upstream* upstream = aContext.upstreams.Find(aId);
+  if (!upstream || aRequest.affinityKey.empty() ||
+      upstream->entry.zone != aContext.localZone) {
+    return std::nullopt;
+  }
+  const uint64_t key = AffinityHash(aRequest);
+  const uint64_t weight =
+    core::MixHash(key, core::StableHash(upstream->entry.name));
+  const auto ahead =
+    std::ranges::count_if(aContext.upstreams.Rows(), [&](const auto& aRow) {
+      const Upstream& other = aRow.second;
+      core::Reason reason = core::Reason::None;
+      return other.entry.service == aRequest.service &&
+             other.entry.zone == aContext.localZone &&
+             core::MixHash(key, core::StableHash(other.entry.name)) > weight &&
+             SatisfiesVersionConstraint(other.entry.softwareVersion,
+                                        aRequest) &&
+             std::ranges::find(aRequest.tried, aRow.first) ==
+               aRequest.tried.end() &&
+             IsEligible(aContext, other, reason);
+    });
+  const auto rank = static_cast<std::size_t>(ahead);
+  return rank < PromptCache::kMaxOwners ? std::optional(rank) : std::nullopt;
+}
+
 std::optional<UpstreamId>
 ChooseUpstream(const PlacementContext& aContext,
                const PlacementRequest& aRequest,
                core::Reason& aLastReason)
 {
   aLastReason = core::Reason::NoUpstream;
-  const uint64_t key = core::MixHash(core::StableHash(aRequest.affinityKey),
-                                     core::StableHash(aRequest.model));
+  const uint64_t key = AffinityHash(aRequest);
   std::vector<Candidate> candidates;
   for (const auto& [id, upstream] : aContext.upstreams.Rows()) {
     if (upstream.entry.service != aRequest.service ||
@@ -346,7 +405,10 @@
   }
   std::vector<UpstreamId> owners;
   if (!aRequest.affinityKey.empty()) {
-    owners = CacheOwners(candidates, aContext.localZone);
+    owners = CacheOwners(candidates,
+                         aContext.localZone,
+                         aContext.weighsPromptCache ? PromptCache::kMaxOwners
+                                                    : kCacheOwnersPerPrefix);
   }
   const double medianFailureRate = MedianFailureRate(candidates);
   const auto suspectZones = SuspectZones(candidates, aContext.now);
@@ -355,15 +417,14 @@
   const Candidate* best = nullptr;
   double bestCost = 0;
   for (const Candidate& candidate : candidates) {
-    const bool ownsCache =
-      std::ranges::find(owners, candidate.id) != owners.end();
-    const double cost = CostOf(candidate,
-                               aContext,
-                               aRequest,
-                               ownsCache,
-                               medianFailureRate,
-                               suspectZones,
-                               localMean);
+    const double cost =
+      CostOf(candidate,
+             aContext,
+             aRequest,
+             SavedTokens(aContext, aRequest, owners, candidate),
+             medianFailureRate,
+             suspectZones,
+             localMean);
     // The weight for the key breaks ties, so that instances do not all pick the
     // same upstream.
     if (!best || cost < bestCost ||
--- a/src/hibiscusnotch/routing/prompt_cache.cpp
+++ b/src/hibiscusnotch/routing/prompt_cache.cpp
@@ -22,6 +22,7 @@
 constexpr double kEvidenceWeight = 0.05;   // averages about twenty responses
 constexpr double kTimingDecay = 0.98;      // averages about fifty responses
 constexpr double kMinTimingWeight = 8;     // responses before timing is used
+constexpr double kStoredDecay = 0.998;     // averages about 500 prompts
 constexpr double kMaxEndedSeconds = 1'000; // then the sums are halved
 // Response times teach the owners' probability only if this instance did not
 // know the prefix itself.
@@ -41,15 +42,16 @@
 } // namespace
 
 PromptChain
-PromptCache::MakeChain(std::string_view aModel,
-                       std::span<const SharedSegment> aSegments)
+PromptCache::LookUp(std::string_view aModel,
+                    std::span<const SharedSegment> aSegments) const
 {
   PromptChain chain;
   chain.prefixes.reserve(aSegments.size());
   uint64_t hash = core::StableHash(aModel);
   for (const SharedSegment& segment : aSegments) {
     hash = core::MixHash(hash, core::StableHash(segment.id));
-    chain.prefixes.push_back({ hash, static_cast<double>(segment.tokens) });
+    chain.prefixes.push_back(
+      { hash, static_cast<double>(segment.tokens), HoldersOf(hash) });
     chain.sharedTokens += segment.tokens;
   }
   return chain;
@@ -89,22 +91,20 @@
   return progress;
 }
 
-const PromptCache::Holder*
-PromptCache::FindHolder(uint64_t aHash, UpstreamId aUpstream) const
+std::span<const PrefixHolder>
+PromptCache::HoldersOf(uint64_t aHash) const
 {
   for (const auto* generation : { &recent_, &former_ }) {
     const auto found = generation->find(aHash);
     if (found != generation->end()) {
-      const auto holder =
-        std::ranges::find(found->second, aUpstream, &Holder::upstream);
-      return holder == found->second.end() ? nullptr : &*holder;
+      return found->second;
     }
   }
-  return nullptr;
+  return {};
 }
 
 void
-PromptCache::RecordHolder(uint64_t aHash, const Holder& aHolder)
+PromptCache::RecordHolder(uint64_t aHash, const PrefixHolder& aHolder)
 {
   if (recent_.size() >= kMaxRecentPrefixes && !recent_.contains(aHash)) {
     former_ = std::exchange(recent_, {});
@@ -117,13 +117,13 @@
     }
   }
   const auto known =
-    std::ranges::find(holders, aHolder.upstream, &Holder::upstream);
+    std::ranges::find(holders, aHolder.upstream, &PrefixHolder::upstream);
   if (known != holders.end()) {
     *known = aHolder;
   } else if (holders.size() < kMaxHolders) {
     holders.push_back(aHolder);
   } else {
-    *std::ranges::min_element(holders, {}, &Holder::sentAt) = aHolder;
+    *std::ranges::min_element(holders, {}, &PrefixHolder::sentAt) = aHolder;
   }
 }
 
@@ -133,6 +133,22 @@
   return aRank < kMaxOwners ? ownerProbability_[aRank] : 0;
 }
 
+double
+PromptCache::OwnProbability(const PrefixHolder& aHolder,
+                            const CachingUpstream& aUpstream,
+                            TimePoint aNow) const
+{
+  const auto progress = progress_.find(aUpstream.id);
+  if (aHolder.incarnation != aUpstream.incarnation ||
+      progress == progress_.end() ||
+      progress->second.incarnation != aUpstream.incarnation) {
+    return 0;
+  }
+  return CachedProbability(PrefilledTokens(progress->second, aNow) -
+                             aHolder.position,
+                           aUpstream.memoryTokens);
+}
+
 CacheForecast
 PromptCache::Forecast(const CachingUpstream& aUpstream,
                       const PromptChain& aChain,
@@ -140,20 +156,13 @@
                       TimePoint aNow) const
 {
   const double byOthers = aOwnerRank ? OwnerProbability(*aOwnerRank) : 0;
-  const auto progress = progress_.find(aUpstream.id);
-  const bool isKnown = progress != progress_.end() &&
-                       progress->second.incarnation == aUpstream.incarnation;
-  const double prefilled =
-    isKnown ? PrefilledTokens(progress->second, aNow) : 0;
   CacheForecast forecast;
   for (const PromptChain::Prefix& prefix : aChain.prefixes) {
-    const Holder* holder =
-      isKnown ? FindHolder(prefix.hash, aUpstream.id) : nullptr;
-    forecast.ownProbability =
-      holder && holder->incarnation == aUpstream.incarnation
-        ? CachedProbability(prefilled - holder->position,
-                            aUpstream.memoryTokens)
-        : 0;
+    const auto holder =
+      std::ranges::find(prefix.holders, aUpstream.id, &PrefixHolder::upstream);
+    forecast.ownProbability = holder == prefix.holders.end()
+                                ? 0
+                                : OwnProbability(*holder, aUpstream, aNow);
     forecast.probability = 1 - (1 - forecast.ownProbability) * (1 - byOthers);
     forecast.tokens += prefix.tokens * forecast.probability;
   }
@@ -166,7 +175,7 @@
                                   std::span<const SharedSegment> aSegments,
                                   TimePoint aNow) const
 {
-  return Forecast(aUpstream, MakeChain(aModel, aSegments), std::nullopt, aNow)
+  return Forecast(aUpstream, LookUp(aModel, aSegments), std::nullopt, aNow)
     .tokens;
 }
 
@@ -176,15 +185,20 @@
                          std::optional<std::size_t> aOwnerRank,
                          TimePoint aNow) const
 {
-  const double tokens = Forecast(aUpstream, aChain, aOwnerRank, aNow).tokens;
-  if (aOwnerRank == 0U || aUpstream.memoryTokens == 0) {
-    return tokens;
-  }
-  // So that requests return to the first owner when its wait is over, and the
-  // other copies are evicted.
-  const double share =
-    aChain.sharedTokens / static_cast<double>(aUpstream.memoryTokens);
-  return tokens * std::max(0.0, 1 - share);
+  const CacheForecast forecast = Forecast(aUpstream, aChain, aOwnerRank, aNow);
+  // A copy at an owner also serves later prompts, with about the probability
+  // that the owner caches a prefix at all.
+  const double later = aOwnerRank ? OwnerProbability(*aOwnerRank) : 0;
+  const double tokens =
+    forecast.tokens + (aChain.sharedTokens - forecast.tokens) * later;
+  return aOwnerRank == 0U ? tokens
+                          : tokens - aChain.sharedTokens * SavedPerStored();
+}
+
+double
+PromptCache::SavedPerStored() const
+{
+  return storedTokens_ > 0 ? std::min(1.0, cachedTokens_ / storedTokens_) : 0;
 }
 
 SentPrompt
@@ -196,15 +210,19 @@
                         double aAheadTokens,
                         TimePoint aNow)
 {
-  SentPrompt sent{
-    std::string(aModel), aPromptTokens,
-    aChain.sharedTokens, aAheadTokens,
-    aOwnerRank,          Forecast(aUpstream, aChain, aOwnerRank, aNow)
-  };
+  SentPrompt sent;
+  sent.model = aModel;
+  sent.promptTokens = std::max(aPromptTokens, aChain.sharedTokens);
+  sent.sharedTokens = aChain.sharedTokens;
+  sent.aheadTokens = aAheadTokens;
+  sent.ownerRank = aOwnerRank;
+  sent.forecast = Forecast(aUpstream, aChain, aOwnerRank, aNow);
+  const double stored = sent.promptTokens - sent.forecast.tokens;
   expectedTotal_ += sent.forecast.tokens;
+  cachedTokens_ = cachedTokens_ * kStoredDecay + sent.forecast.tokens;
+  storedTokens_ = storedTokens_ * kStoredDecay + stored;
   Progress& progress = ProgressOf(aUpstream, aNow);
-  progress.prefilledTokens +=
-    std::max(0.0, aPromptTokens - sent.forecast.tokens);
+  progress.prefilledTokens += stored;
   for (const PromptChain::Prefix& prefix : aChain.prefixes) {
     RecordHolder(
       prefix.hash,
@@ -290,7 +308,7 @@
 void
 PromptCache::RecordEnd(const SentPrompt& aPrompt, Duration aTook)
 {
-  endedTokens_ += std::max(0.0, aPrompt.promptTokens - aPrompt.forecast.tokens);
+  endedTokens_ += aPrompt.promptTokens - aPrompt.forecast.tokens;
   endedSeconds_ += core::Seconds(aTook);
   if (endedSeconds_ > kMaxEndedSeconds) {
     endedTokens_ /= 2;
