--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -47,6 +47,8 @@
   MeshBytesSent,
   MeshBytesReceived,
   ForwardedRequests,
+  ExpectedCachedTokens,
+  MissedCachedTokens,
 };
 
 /// @brief Histograms and counters by organisation and request class, and gauges
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -308,6 +308,11 @@
     metrics_->RaiseTo(observe::Counter::ForwardedRequests,
                       router_->ForwardCount());
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
+    metrics_->RaiseTo(
+      observe::Counter::ExpectedCachedTokens,
+      static_cast<uint64_t>(fleet_.promptCache.ExpectedTotal()));
+    metrics_->RaiseTo(observe::Counter::MissedCachedTokens,
+                      static_cast<uint64_t>(fleet_.promptCache.MissedTotal()));
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
 
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -60,6 +60,10 @@
                      "Bytes of messages received from other instances" },
   MetricDescription{ "hibiscusnotch_forwarded_requests_total",
                      "Requests sent through another instance" },
+  MetricDescription{ "hibiscusnotch_expected_cached_tokens_total",
+                     "Prompt tokens that upstreams were expected to cache" },
+  MetricDescription{ "hibiscusnotch_missed_cached_tokens_total",
+                     "Those whose response time showed that they were not" },
 };
 
 const prometheus::Histogram::BucketBoundaries kLatencyBucketsSeconds{
