--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -49,6 +49,8 @@
   MeshBytesReceived,
   ForwardedRequests,
   SlowReadersEnded,
+  ExpectedCachedTokens,
+  MissedCachedTokens,
 };
 
 /// @brief Histograms and counters by organisation and request class, and gauges
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -321,6 +321,11 @@
     metrics_->RaiseTo(observe::Counter::SlowReadersEnded,
                       unsentBudget_.EndedCount());
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
+    metrics_->RaiseTo(
+      observe::Counter::ExpectedCachedTokens,
+      static_cast<uint64_t>(fleet_.promptCache.ExpectedTotal()));
+    metrics_->RaiseTo(observe::Counter::MissedCachedTokens,
+                      static_cast<uint64_t>(fleet_.promptCache.MissedTotal()));
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
 
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -9,6 +9,7 @@
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
+#include "hibiscusnotch/routing/prompt_cache.hpp"
 #include "hibiscusnotch/routing/service_timing.hpp"
 #include "hibiscusnotch/routing/wait_queue.hpp"
 
@@ -43,6 +44,8 @@
   /// What it found at its upstream; nothing if times are not learnt.
   std::optional<routing::SendObservation> sent;
   std::optional<TimePoint> headAt;
+  /// @brief Nothing if the prompt cache is not weighed.
+  std::optional<routing::SentPrompt> sentPrompt;
   bool promptUnread = true; ///< The upstream has not read the prompt yet.
   bool resumed = false;
   std::size_t eventsBefore = 0; ///< Events of the stream's former attempts.
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -67,6 +67,16 @@
 // No upstream usually responds in less time.
 constexpr Duration kMinAttemptTimeout{ 200'000 };
 
+/// Nothing if the prompt names no shared segments.
+std::string
+FormatCachedTokens(const Attempt& aAttempt)
+{
+  const auto& prompt = aAttempt.sentPrompt;
+  return prompt && prompt->sharedTokens > 0
+           ? " cached=" + std::to_string(std::lround(prompt->forecast.tokens))
+           : "";
+}
+
 class Router : public RequestRouter
 {
 public:
@@ -372,6 +382,8 @@
     attempt.model = ModelName(aExchange, aExchange.modelIndex);
     attempt.sentAt = now;
     attempt.promptTokens = aExchange.metadata.promptTokens;
+    attempt.sentPrompt =
+      planner_.RecordPrompt(aExchange, aExchange.modelIndex, aUpstream);
     attempt.resumed = aExchange.responseStarted;
     attempt.eventsBefore = aExchange.events.EventCount();
     AttemptMetadata metadata;
@@ -410,7 +422,7 @@
            ? " limit=" + FormatRate(*upstream.requestLimit) +
                " own_rate=" + FormatRate(upstream.pacer.Rate())
            : "") +
-        DescribeConfiguration(fleet_, now));
+        DescribeConfiguration(fleet_, now) + FormatCachedTokens(attempt));
     planner_.RecordSend(aExchange, attempt);
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
@@ -493,6 +505,11 @@
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       recorder_.RecordSuccess(exchange, attempt);
       models_.RecordHead(exchange);
+      if (attempt.sentPrompt) {
+        fleet_.promptCache.RecordResponse(
+          *attempt.sentPrompt,
+          planner_.AtUsualSpeed(attempt, timers_.Now() - attempt.sentAt));
+      }
       if (!exchange.responseStarted && attempt.peer.empty() &&
           Escalate(exchange)) {
         return;
@@ -624,6 +641,10 @@
       planner_.RecordSessionVersion(aExchange, attempt);
     }
     fleet_.upstreams.RecordEnd(attempt.upstream);
+    if (attempt.sentPrompt) {
+      fleet_.promptCache.RecordEnd(*attempt.sentPrompt,
+                                   timers_.Now() - attempt.sentAt);
+    }
     client_.Cancel(attempt.call);
     aExchange.attempt.reset();
   }
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -65,6 +65,10 @@
   MetricDescription{ "hibiscusnotch_slow_readers_ended_total",
                      "Exchanges ended as the budget of unsent bytes was used "
                      "up" },
+  MetricDescription{ "hibiscusnotch_expected_cached_tokens_total",
+                     "Prompt tokens that upstreams were expected to cache" },
+  MetricDescription{ "hibiscusnotch_missed_cached_tokens_total",
+                     "Those whose response time showed that they were not" },
 };
 
 const prometheus::Histogram::BucketBoundaries kLatencyBucketsSeconds{
