Place by time and weigh prompt caches only where stated or asked for

Change: expected time where upstreams state the fourth load figure, or by the setting placeByTime; prompt caches by the setting weighPromptCache.

--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -36,6 +36,12 @@
   /// @brief Upstreams end when their requests exceed their memory, and callers
   /// may read slowly.
   bool memoryPressure = false;
+  /// @brief Chooses upstreams by expected time even if they do not state their
+  /// slowdown.
+  bool placeByTime = false;
+  /// @brief Weighs what upstreams have likely cached of a prompt against their
+  /// load, where the configuration states their memory.
+  bool weighPromptCache = false;
   /// @brief Bytes of one response that may wait for a slow caller; above it,
   /// the upstream is paused.
   std::size_t maxUnsentBytes = std::size_t{ 256 } * 1024;
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -236,16 +236,14 @@
            [this](const routing::Upstream& aUpstream) {
              return SlotShareOf(aUpstream);
            },
-           options_.memoryPressure,
+           options_.placeByTime,
            &timings_ };
 }
 
 std::optional<uint64_t>
 AttemptPlanner::WeighedMemory(std::string_view aService) const
 {
-  const bool weighs =
-    options_.memoryPressure || fleet_.upstreams.StatesSlowdown(aService);
-  if (!weighs || !fleet_.configuration) {
+  if (!options_.weighPromptCache || !fleet_.configuration) {
     return std::nullopt;
   }
   const routing::Service* service = fleet_.configuration->FindService(aService);
@@ -339,7 +337,7 @@
 {
   const routing::Upstream* upstream = fleet_.upstreams.Find(aAttempt.upstream);
   if (upstream && !aAttempt.resumed &&
-      (options_.memoryPressure ||
+      (options_.placeByTime ||
        fleet_.upstreams.StatesSlowdown(aAttempt.service))) {
     routing::PlacementRequest request;
     SetWork(aExchange.metadata, request);
--- a/src/hibiscusnotch/entry/request_queue_test.cpp
+++ b/src/hibiscusnotch/entry/request_queue_test.cpp
@@ -268,9 +268,9 @@
 {
   Fixture fixture;
   fixture.Request("usual");
-  std::vector<relay::ExchangeId> waiting;
-  for (int request = 0; request < 100; ++request) {
-    waiting.push_back(fixture.Request("usual"));
+  std::vector<relay::ExchangeId> waiting(100);
+  for (relay::ExchangeId& request : waiting) {
+    request = fixture.Request("usual");
   }
   fixture.timers.Advance(Duration{ 790'000 });
   CHECK(fixture.router->QueuedRequestCount() == 100);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -850,13 +850,14 @@
   CHECK(fixture.client.sent.size() > 110);
 }
 
-TEST_CASE("prompt caches are weighed only where memory is stated and short")
+TEST_CASE(
+  "prompt caches are weighed only where the settings ask and memory is stated")
 {
   // Guards against a change of the choice in earlier deployments, and against
   // the last segment, which belongs to one request alone, being remembered.
-  for (const bool memoryPressure : { false, true }) {
+  for (const bool weighPromptCache : { false, true }) {
     for (const bool memoryStated : { false, true }) {
-      CAPTURE(memoryPressure);
+      CAPTURE(weighPromptCache);
       CAPTURE(memoryStated);
       Fixture fixture;
       routing::Service service;
@@ -870,7 +871,7 @@
       RouterOptions options;
       options.instanceName = "self";
       options.zone = "east";
-      options.memoryPressure = memoryPressure;
+      options.weighPromptCache = weighPromptCache;
       fixture.router = MakeRequestRouter(options,
                                          { fixture.timers,
                                            fixture.client,
@@ -888,7 +889,7 @@
       const std::string upstream = fixture.Message(0).substr(0, 2);
       CHECK(fixture.Message(1).substr(0, 2) == upstream);
       const routing::PromptCache& cache = fixture.fleet.promptCache;
-      if (!memoryPressure || !memoryStated) {
+      if (!weighPromptCache || !memoryStated) {
         CHECK(cache.PrefixCount() == 0);
         continue;
       }
--- a/src/hibiscusnotch/routing/wait_queue.cpp
+++ b/src/hibiscusnotch/routing/wait_queue.cpp
@@ -366,7 +366,9 @@
   std::vector<ExpectedStart> tooLate;
   const TimePoint from = std::max(aPace.from, aNow);
   double urgent = 0;
-  for (const auto& [number, rank] : ranks_) {
+  for (const auto& entry : ranks_) {
+    const auto& number = entry.first;
+    const auto& rank = entry.second;
     const std::size_t before = tooLate.size();
     for (const auto& [virtualStart, organisation] : rank.active) {
       const Flow& flow = rank.flows.at(organisation);
--- a/src/hibiscusnotch/routing/wait_queue_test.cpp
+++ b/src/hibiscusnotch/routing/wait_queue_test.cpp
@@ -88,9 +88,9 @@
   for (int start = 0; start < 100; ++start) {
     StartNext(queue);
   }
-  std::vector<WaitTicket> tickets;
-  for (int request = 0; request < 50; ++request) {
-    tickets.push_back(queue.Add(RequestOf(1, "new"), kStart));
+  std::vector<WaitTicket> tickets(50);
+  for (WaitTicket& ticket : tickets) {
+    ticket = queue.Add(RequestOf(1, "new"), kStart);
   }
   int startsOfNew = 0;
   for (int start = 0; start < 40; ++start) {
@@ -174,9 +174,9 @@
 {
   WaitQueue queue;
   CHECK_FALSE(queue.MeasuredPace(kStart));
-  std::vector<WaitTicket> tickets;
-  for (int request = 0; request < 100; ++request) {
-    tickets.push_back(queue.Add(RequestOf(1, "a"), kStart));
+  std::vector<WaitTicket> tickets(100);
+  for (WaitTicket& ticket : tickets) {
+    ticket = queue.Add(RequestOf(1, "a"), kStart);
   }
   CHECK_FALSE(queue.MeasuredPace(kStart));
   TimePoint now = kStart;
