Take the bounds of the load tests from the stated targets

Cause: some bounds followed the measured figures: 99th percentiles of 1.7 to 1.8 times the oracle's, 2 per cent over the former choice for prompt caches, and one key at a load at which 0.9 is just met.

Change: 1.3 times for each load, no tolerance, and one key at 0.85 of the capacity beside 0.65.

--- a/src/hibiscusnotch/routing/placement_load_test.cpp
+++ b/src/hibiscusnotch/routing/placement_load_test.cpp
@@ -512,10 +512,19 @@
            Simulation(aLoad).Run() };
 }
 
+constexpr double kPageRatio = 1.3; // of mean and p99, in docs/HEAVY-LOAD.md
+
+enum class Bounds
+{
+  Mean,
+  Percentile99,
+  Both,
+};
+
 /// Runs the load at each number of instances and bounds the results relative to
 /// the oracle's.
 void
-CheckWithin(LoadCase aLoad, double aMeanRatio, double aP99Ratio)
+CheckWithin(LoadCase aLoad, Bounds aBounds)
 {
   for (const std::size_t instances : { 8, 88, 295 }) {
     aLoad.instances = instances;
@@ -527,13 +536,15 @@
     CAPTURE(results.former.p99);
     CAPTURE(results.byTime.mean);
     CAPTURE(results.byTime.p99);
-    CHECK(results.byTime.mean <= aMeanRatio * results.oracle.mean);
-    CHECK(results.byTime.p99 <= aP99Ratio * results.oracle.p99);
+    if (aBounds != Bounds::Percentile99) {
+      CHECK(results.byTime.mean <= kPageRatio * results.oracle.mean);
+    }
+    if (aBounds != Bounds::Mean) {
+      CHECK(results.byTime.p99 <= kPageRatio * results.oracle.p99);
+    }
   }
 }
 
-constexpr double kPageRatio = 1.3; // of mean and p99, in docs/HEAVY-LOAD.md
-
 LoadCase
 UnevenLoad()
 {
@@ -542,12 +553,34 @@
   return load;
 }
 
+LoadCase
+LoadWithLostUpstreams()
+{
+  LoadCase load = UnevenLoad();
+  load.noisyFraction = 0.15;
+  load.zoneVariation = 0.55;
+  load.loseUpstreams = 0.34;
+  load.perSecond = 130;
+  return load;
+}
+
+LoadCase
+PlainLoad()
+{
+  LoadCase load;
+  load.plain = true;
+  load.upstreams = 3;
+  load.slots = 6;
+  load.perSecond = 140;
+  return load;
+}
+
 } // namespace
 
 TEST_CASE("load: equal upstreams at two thirds of their slots")
 {
   // Guards against the crowd at the least loaded upstream of a shared report.
-  CheckWithin({}, kPageRatio, kPageRatio);
+  CheckWithin({}, Bounds::Both);
 }
 
 TEST_CASE("load: few requests wait beside free slots")
@@ -568,61 +601,52 @@
 {
   LoadCase load;
   load.reportDelay = 0.1;
-  CheckWithin(load, kPageRatio, kPageRatio);
+  CheckWithin(load, Bounds::Both);
   load.reportsLost = true;
-  CheckWithin(load, kPageRatio, kPageRatio);
+  CheckWithin(load, Bounds::Both);
 }
 
 TEST_CASE("load: reports that are a second old")
 {
-  // The mean is within the page's bound; the 99th percentile is not with 88 and
-  // 295 instances, and is listed below.
   LoadCase load;
   load.reportDelay = 1;
-  CheckWithin(load, kPageRatio, 1.7);
+  CheckWithin(load, Bounds::Mean);
 }
 
 TEST_CASE("load: uneven speeds, noise and a zone with varying demand")
 {
-  // The mean is within the page's bound; the 99th percentile is not.
   LoadCase load = UnevenLoad();
-  CheckWithin(load, kPageRatio, 1.75);
+  CheckWithin(load, Bounds::Mean);
   load.noisyFraction = 0.15;
-  CheckWithin(load, kPageRatio, 1.75);
+  CheckWithin(load, Bounds::Mean);
   load.zoneVariation = 0.55;
-  CheckWithin(load, kPageRatio, 1.75);
+  CheckWithin(load, Bounds::Mean);
 }
 
 TEST_CASE("load: a third of the upstreams disappears")
 {
-  LoadCase load = UnevenLoad();
-  load.noisyFraction = 0.15;
-  load.zoneVariation = 0.55;
-  load.loseUpstreams = 0.34;
-  load.perSecond = 130;
-  CheckWithin(load, kPageRatio, 1.75);
+  CheckWithin(LoadWithLostUpstreams(), Bounds::Mean);
 }
 
 TEST_CASE("load: a plain service near its limit")
 {
-  LoadCase load;
-  load.plain = true;
-  load.upstreams = 3;
-  load.slots = 6;
-  load.perSecond = 140;
-  CheckWithin(load, kPageRatio, 1.8);
+  CheckWithin(PlainLoad(), Bounds::Mean);
 }
 
 TEST_CASE("load: the 99th percentile is within 1.3 times the oracle's")
 {
-  // The page's bound, for the loads whose bounds above are wider.
+  // For the loads of which the tests above bound the mean only.
   LoadCase load;
   load.reportDelay = 1;
-  CheckWithin(load, kPageRatio, kPageRatio);
+  CheckWithin(load, Bounds::Percentile99);
   load = UnevenLoad();
+  CheckWithin(load, Bounds::Percentile99);
   load.noisyFraction = 0.15;
+  CheckWithin(load, Bounds::Percentile99);
   load.zoneVariation = 0.55;
-  CheckWithin(load, kPageRatio, kPageRatio);
+  CheckWithin(load, Bounds::Percentile99);
+  CheckWithin(LoadWithLostUpstreams(), Bounds::Percentile99);
+  CheckWithin(PlainLoad(), Bounds::Percentile99);
 }
 
 TEST_CASE("load: no upstream holds more than 1.5 times its fair share")
--- a/src/hibiscusnotch/routing/prompt_reuse_test.cpp
+++ b/src/hibiscusnotch/routing/prompt_reuse_test.cpp
@@ -474,10 +474,9 @@
           << " %, shown as missed "
           << 100 * both.weighed.missedTokens / both.weighed.promptTokens
           << " %");
-  // Both runs draw the same prompts; two per cent covers other wait orders.
-  CHECK(both.weighed.AgainPercent() <= 1.02 * both.former.AgainPercent());
-  CHECK(both.weighed.MeanMilliseconds() <=
-        1.02 * both.former.MeanMilliseconds());
+  // Both runs draw the same prompts.
+  CHECK(both.weighed.AgainPercent() <= both.former.AgainPercent());
+  CHECK(both.weighed.MeanMilliseconds() <= both.former.MeanMilliseconds());
   return both;
 }
 
@@ -544,6 +543,14 @@
     Load load;
     load.instances = instances;
     Compare("long tail", load);
+  }
+}
+
+TEST_CASE("a long tail of 1,300 prefixes while half of the reports are lost")
+{
+  for (const std::size_t instances : { 8U, 79U, 295U }) {
+    Load load;
+    load.instances = instances;
     load.lostReports = 0.5;
     Compare("long tail, half of the reports lost", load);
   }
--- a/src/hibiscusnotch/routing/wait_queue_test.cpp
+++ b/src/hibiscusnotch/routing/wait_queue_test.cpp
@@ -466,6 +466,28 @@
   };
 }
 
+/// The others' requests must be kept, which alone need that part of the
+/// capacity.
+void
+CheckOneKey(double aUsualLoad)
+{
+  for (const std::size_t instances : kFleetSizes) {
+    CAPTURE(instances);
+    std::vector<Demand> demands = UsualDemand(instances);
+    const std::size_t slots = SlotsFor(demands, aUsualLoad);
+    demands.push_back({ 1,
+                        "one",
+                        1,
+                        (demands[0].perSecond + demands[1].perSecond) / 2,
+                        kLong,
+                        false });
+    LoadSimulation simulation(instances, slots);
+    const LoadResult result = simulation.Run(demands, 10 * kSecond, Always);
+    CHECK(result.kept >= kMinKept);
+    CHECK(result.idle == 0);
+  }
+}
+
 } // namespace
 
 TEST_CASE("load: one organisation at 7.5 times its usual load")
@@ -483,25 +505,16 @@
   }
 }
 
+TEST_CASE("load: one key with a third of the traffic at 0.65 of the capacity")
+{
+  CheckOneKey(0.65);
+}
+
 TEST_CASE("load: one key with a third of the traffic")
 {
-  for (const std::size_t instances : kFleetSizes) {
-    CAPTURE(instances);
-    std::vector<Demand> demands = UsualDemand(instances);
-    // Each instance gets the same turns whoever waits there, as no shares are
-    // exchanged: from 0.7 on, 295 instances keep less than 0.9 of the others.
-    const std::size_t slots = SlotsFor(demands, 0.65);
-    demands.push_back({ 1,
-                        "one",
-                        1,
-                        (demands[0].perSecond + demands[1].perSecond) / 2,
-                        kLong,
-                        false });
-    LoadSimulation simulation(instances, slots);
-    const LoadResult result = simulation.Run(demands, 10 * kSecond, Always);
-    CHECK(result.kept >= kMinKept);
-    CHECK(result.idle == 0);
-  }
+  // Instances exchange no shares and take the same turns, so an instance where
+  // the key waits keeps as many slots as one where others do.
+  CheckOneKey(0.85);
 }
 
 TEST_CASE("load: a burst of one class")
