Estimate the wait for response heads by a median over recent sends

Cause: the cascade took the mean age of all awaited heads for crowding.

Change: routing/head_waits keeps the most recent sends and estimates the median wait with the awaited ones as censored times. Sends past their latency target count as lost; suspected upstreams and zones that are not reached do not count.

--- a/include/hibiscusnotch/routing/model_timing.hpp
+++ b/include/hibiscusnotch/routing/model_timing.hpp
@@ -17,20 +17,6 @@
 using core::Duration;
 using core::TimePoint;
 
-/// @brief Requests whose response heads are awaited, in constant memory.
-class AwaitedHeads
-{
-public:
-  void Add(TimePoint aSentAt);
-  void Remove(TimePoint aSentAt);
-  /// @brief How long they have been awaited on average.
-  Duration MeanAge(TimePoint aNow) const;
-
-private:
-  int64_t count_ = 0;
-  Duration sentAtSum_{ 0 }; ///< Of times since the epoch.
-};
-
 /// @brief What one instance has seen of a route's models.
 class ModelTiming
 {
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -9,6 +9,7 @@
 #include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/crash_evidence.hpp"
+#include "hibiscusnotch/routing/head_waits.hpp"
 #include "hibiscusnotch/routing/prompt_cache.hpp"
 #include "hibiscusnotch/routing/service_timing.hpp"
 #include "hibiscusnotch/routing/wait_queue.hpp"
@@ -40,6 +41,7 @@
   std::string softwareVersion;
   std::string model;
   TimePoint sentAt{};
+  routing::HeadWaitId headWait = 0; ///< Zero if no model runs.
   double promptTokens = 0;
   /// What it found at its upstream; nothing if times are not learnt.
   std::optional<routing::SendObservation> sent;
--- a/src/hibiscusnotch/entry/model_chooser.cpp
+++ b/src/hibiscusnotch/entry/model_chooser.cpp
@@ -53,7 +53,7 @@
     if (view.latencyTarget > Duration::zero()) {
       // Heads that do not come show a shortage before late ones do.
       const Duration firstHead =
-        std::max(seen.MeanFirstHead(), awaited_.MeanAge(timers_.Now()));
+        std::max(seen.MeanFirstHead(), TypicalHeadWait());
       view.crowding =
         core::Seconds(firstHead) / core::Seconds(view.latencyTarget);
     }
@@ -101,26 +101,39 @@
                      prices.empty() ? view.load : view.crowding };
 }
 
+Duration
+ModelChooser::TypicalHeadWait() const
+{
+  const TimePoint now = timers_.Now();
+  return headWaits_.Median(now, [this, now](core::UpstreamId aId) {
+    const routing::Upstream* upstream = fleet_.upstreams.Find(aId);
+    return !upstream || now < upstream->suspectUntil ||
+           fleet_.unreachableZones.contains(upstream->entry.zone);
+  });
+}
+
 void
-ModelChooser::RecordSend(const Attempt& aAttempt)
+ModelChooser::RecordSend(const Exchange& aExchange, Attempt& aAttempt)
 {
   if (!aAttempt.model.empty()) {
-    awaited_.Add(aAttempt.sentAt);
+    aAttempt.headWait =
+      headWaits_.Add(aAttempt.upstream,
+                     aAttempt.sentAt,
+                     aAttempt.sentAt + aExchange.route.latencyTarget);
   }
 }
 
 void
-ModelChooser::RecordRead(const Attempt& aAttempt)
+ModelChooser::RecordEnd(const Attempt& aAttempt)
 {
-  if (!aAttempt.model.empty()) {
-    awaited_.Remove(aAttempt.sentAt);
-  }
+  headWaits_.RecordEnd(aAttempt.headWait, timers_.Now());
 }
 
 void
 ModelChooser::RecordHead(const Exchange& aExchange)
 {
   const Attempt& attempt = *aExchange.attempt;
+  headWaits_.RecordHead(attempt.headWait, timers_.Now());
   const std::size_t count = aExchange.route.models.size();
   if (count < 2 || attempt.resumed || !attempt.peer.empty()) {
     return;
--- a/src/hibiscusnotch/entry/model_chooser.hpp
+++ b/src/hibiscusnotch/entry/model_chooser.hpp
@@ -6,6 +6,7 @@
 #include "exchange.hpp"
 #include "hibiscusnotch/entry/fleet_state.hpp"
 #include "hibiscusnotch/entry/request_router.hpp"
+#include "hibiscusnotch/routing/head_waits.hpp"
 #include "hibiscusnotch/routing/model_cascade.hpp"
 #include "hibiscusnotch/routing/model_timing.hpp"
 
@@ -41,18 +42,20 @@
   std::optional<Escalation> NextModel(const Exchange& aExchange,
                                       double aRetryBudgetUsed) const;
 
-  /// @brief Records that an attempt was sent.
-  void RecordSend(const Attempt& aAttempt);
-  /// @brief Records that its response head came, or that it ended without one.
-  void RecordRead(const Attempt& aAttempt);
+  /// @brief Records that an attempt is sent for the exchange.
+  void RecordSend(const Exchange& aExchange, Attempt& aAttempt);
   /// @brief Records the response head of the exchange's attempt.
   void RecordHead(const Exchange& aExchange);
+  /// @brief Records that an attempt ended.
+  void RecordEnd(const Attempt& aAttempt);
   /// @brief Records whether the answer of a first attempt was escalated.
   void RecordDecision(const Exchange& aExchange, bool aEscalated);
 
 private:
   /// Prices of the route's models per token; empty if not all are stated.
   std::vector<double> PricesOf(const Exchange& aExchange) const;
+  /// Time that a typical request now waits for its response head.
+  Duration TypicalHeadWait() const;
   routing::CascadeView ViewOf(const Exchange& aExchange,
                               const std::vector<double>& aPrices) const;
 
@@ -61,7 +64,7 @@
   const AttemptPlanner& planner_;
   const relay::Timers& timers_;
   std::map<std::string, routing::ModelTiming> timings_; ///< By route.
-  routing::AwaitedHeads awaited_;
+  routing::HeadWaits headWaits_;
 };
 
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -427,7 +427,7 @@
     fleet_.upstreams.RecordSend(aUpstream, attempt.promptTokens, now);
     fleet_.rollouts.RecordSend(attempt.service, attempt.softwareVersion);
     planner_.RecordSessionVersion(aExchange, attempt);
-    models_.RecordSend(attempt);
+    models_.RecordSend(aExchange, attempt);
     StartCall(aExchange, std::move(attempt), std::move(call));
     if (aExchange.route.executionSemantics == ExecutionSemantics::Idempotent) {
       aExchange.attemptTimer = timers_.After(
@@ -436,14 +436,6 @@
     }
   }
 
-  void MarkPromptRead(Attempt& aAttempt)
-  {
-    if (aAttempt.promptUnread) {
-      models_.RecordRead(aAttempt);
-      recorder_.MarkPromptRead(aAttempt);
-    }
-  }
-
   /// Retries a slow idempotent request at another upstream.
   void OnSlowAttempt(ExchangeKey aKey)
   {
@@ -501,7 +493,7 @@
     }
     queue_.RecordResponseTime(exchange, timers_.Now() - attempt.sentAt);
     planner_.RecordHead(attempt);
-    MarkPromptRead(attempt);
+    recorder_.MarkPromptRead(attempt);
     if (exchange.route.executionSemantics == ExecutionSemantics::Stream) {
       recorder_.RecordSuccess(exchange, attempt);
       models_.RecordHead(exchange);
@@ -636,7 +628,8 @@
     timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
     bufferedBytes_ -= attempt.body.size();
-    MarkPromptRead(attempt);
+    models_.RecordEnd(attempt);
+    recorder_.MarkPromptRead(attempt);
     if (attempt.peer.empty()) {
       planner_.RecordSessionVersion(aExchange, attempt);
     }
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -522,6 +522,74 @@
   CHECK(fixture.Response(id).body == "id: 1\ndata: a\n\n");
 }
 
+namespace {
+
+/// A fleet whose models have prices, behind which quick answers come.
+struct PricedFixture : Fixture
+{
+  PricedFixture()
+  {
+    routing::Service service;
+    service.name = "app";
+    service.modelPrices = { { "small", 0.015 },
+                            { "middle", 0.11 },
+                            { "large", 0.22 } };
+    configuration.services["app"] = service;
+    Apply();
+  }
+
+  /// Sends a request whose answer comes after a while with high confidence.
+  void Answer(Duration aAfter)
+  {
+    Request("sized");
+    const std::size_t send = client.sent.size() - 1;
+    timers.Advance(aAfter);
+    client.Head(send, Head(200, { { "confidence", "90" } }));
+    client.Body(send, "id: 1\ndata: a\n\n");
+    client.End(send, CallOutcome::Complete);
+  }
+
+  /// True if an answer of low confidence is replaced by a larger model's.
+  bool Escalates()
+  {
+    Request("sized");
+    const std::size_t send = client.sent.size() - 1;
+    timers.Advance(kSecond / 25);
+    client.Head(send, Head(200, { { "confidence", "20" } }));
+    return client.sent.size() == send + 2;
+  }
+};
+
+} // namespace
+
+// Guards against a few attempts that never end and pass for a shortage.
+TEST_CASE("five hung sends among fifty quick ones do not keep poor answers")
+{
+  PricedFixture fixture;
+  for (int round = 0; round < 5; ++round) {
+    fixture.Request("sized"); // hangs
+    for (int request = 0; request < 10; ++request) {
+      fixture.Answer(kSecond / 25);
+    }
+  }
+  fixture.timers.Advance(kSecond / 2);
+  CHECK(fixture.Escalates());
+}
+
+// Guards against larger runs that displace others while engines are too slow.
+TEST_CASE("poor answers are kept while most requests wait for their heads")
+{
+  PricedFixture fixture;
+  for (int request = 0; request < 20; ++request) {
+    fixture.Answer(kSecond / 25);
+  }
+  for (int request = 0; request < 20; ++request) {
+    fixture.Request("sized");
+    fixture.timers.Advance(kSecond / 20);
+  }
+  CHECK_FALSE(fixture.Escalates());
+}
+
 TEST_CASE("a high-confidence answer of the smallest model is kept")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/routing/model_timing.cpp
+++ b/src/hibiscusnotch/routing/model_timing.cpp
@@ -15,29 +15,6 @@
 
 } // namespace
 
-void
-AwaitedHeads::Add(TimePoint aSentAt)
-{
-  ++count_;
-  sentAtSum_ += aSentAt.time_since_epoch();
-}
-
-void
-AwaitedHeads::Remove(TimePoint aSentAt)
-{
-  --count_;
-  sentAtSum_ -= aSentAt.time_since_epoch();
-}
-
-Duration
-AwaitedHeads::MeanAge(TimePoint aNow) const
-{
-  if (count_ <= 0) {
-    return Duration::zero();
-  }
-  return aNow.time_since_epoch() - sentAtSum_ / count_;
-}
-
 void
 ModelTiming::Rate::Add(double aTokens, double aSeconds, double aKeep)
 {
