Log why a smaller model's poor answer is kept

Change: E708 answer_kept for answers that a larger model would replace at rest, with the threshold of now and what lowers it most or prevents the run. Decisions are unchanged.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -48,6 +48,7 @@
   StreamResumed = 705,
   CallerLeft = 706,
   AnswerBroken = 707,
+  AnswerKept = 708,
   UpstreamSeen = 710,
   UpstreamGone = 711,
   UpstreamSuspected = 712,
--- a/include/hibiscusnotch/routing/model_cascade.hpp
+++ b/include/hibiscusnotch/routing/model_cascade.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace hibiscusnotch::routing {
 
@@ -85,6 +86,29 @@
 int
 MinConfidence(const ModelCascadeOptions& aOptions, const CascadeView& aView);
 
+/// @brief What lowers the minimum confidence most.
+enum class KeepCause
+{
+  None, ///< It is as high as at rest.
+  Time, ///< A larger model's answer would be late.
+  Crowding,
+  RetryBudget,
+};
+
+/// @brief The name in log lines.
+std::string_view
+Name(KeepCause aCause);
+
+/// @brief Minimum confidence to keep an answer as it would be at rest: in time,
+/// without crowding and with the whole retry budget.
+int
+RestingMinConfidence(const ModelCascadeOptions& aOptions,
+                     const CascadeView& aView);
+
+/// @brief The state that lowers the minimum confidence most.
+KeepCause
+CauseOfKeeping(const ModelCascadeOptions& aOptions, const CascadeView& aView);
+
 /// @brief Index of the model to run next; nothing if the answer is kept.
 /// @param aModelCount Number of models, smallest first.
 /// @param aConfidence Confidence that the engine reports for its answer, if
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -58,6 +58,7 @@
   EventDescription{ StreamResumed, LogLevel::Warning, "stream_resumed" },
   EventDescription{ CallerLeft, LogLevel::Info, "caller_left" },
   EventDescription{ AnswerBroken, LogLevel::Error, "answer_broken" },
+  EventDescription{ AnswerKept, LogLevel::Info, "answer_kept" },
   EventDescription{ UpstreamSeen, LogLevel::Info, "upstream_seen" },
   EventDescription{ UpstreamGone, LogLevel::Info, "upstream_gone" },
   EventDescription{ UpstreamSuspected,
--- a/src/hibiscusnotch/entry/model_chooser.cpp
+++ b/src/hibiscusnotch/entry/model_chooser.cpp
@@ -73,13 +73,13 @@
     options_.modelCascade, count, ViewOf(aExchange, prices));
 }
 
-std::optional<ModelChooser::Escalation>
-ModelChooser::NextModel(const Exchange& aExchange,
-                        double aRetryBudgetUsed) const
+std::optional<ModelChooser::Judgement>
+ModelChooser::Judge(const Exchange& aExchange, double aRetryBudgetUsed) const
 {
   const std::size_t count = aExchange.route.models.size();
   const Attempt& attempt = *aExchange.attempt;
-  if (aExchange.modelIndex + 1 >= count) {
+  const auto& confidence = attempt.metadata.confidence;
+  if (aExchange.modelIndex + 1 >= count || !confidence) {
     return std::nullopt;
   }
   const std::vector<double> prices = PricesOf(aExchange);
@@ -88,17 +88,17 @@
   if (prices.empty()) {
     view.load = planner_.ServiceLoad(attempt.service);
   }
-  const auto next = routing::NextModel(options_.modelCascade,
-                                       count,
-                                       aExchange.modelIndex,
-                                       attempt.metadata.confidence,
-                                       view);
-  if (!next) {
-    return std::nullopt;
+  const routing::ModelCascadeOptions& options = options_.modelCascade;
+  Judgement judgement;
+  judgement.next =
+    routing::NextModel(options, count, aExchange.modelIndex, confidence, view);
+  judgement.minConfidence = routing::MinConfidence(options, view);
+  judgement.crowding = prices.empty() ? view.load : view.crowding;
+  judgement.isPoor = *confidence < routing::RestingMinConfidence(options, view);
+  if (judgement.isPoor) {
+    judgement.cause = routing::CauseOfKeeping(options, view);
   }
-  return Escalation{ *next,
-                     routing::MinConfidence(options_.modelCascade, view),
-                     prices.empty() ? view.load : view.crowding };
+  return judgement;
 }
 
 Duration
--- a/src/hibiscusnotch/entry/model_chooser.hpp
+++ b/src/hibiscusnotch/entry/model_chooser.hpp
@@ -29,18 +29,22 @@
   /// @brief Index of the route's model that runs first.
   std::size_t FirstModel(const Exchange& aExchange) const;
 
-  /// @brief What a larger model's run is decided by.
-  struct Escalation
+  /// @brief What becomes of a smaller model's answer, and why.
+  struct Judgement
   {
-    std::size_t model = 0; ///< Index of the larger model.
+    /// @brief Index of the larger model to run; nothing if the answer is kept.
+    std::optional<std::size_t> next;
     int minConfidence = 0; ///< Answers of at least this one are kept.
     double crowding = 0;   ///< Or the load, for models without prices.
+    bool isPoor = false;   ///< At rest a larger model would be asked.
+    routing::KeepCause cause = routing::KeepCause::None; ///< If it is poor.
   };
 
-  /// @brief The model to run next; nothing if the attempt's answer is kept.
+  /// @brief Judges the answer of the exchange's attempt; nothing if there is no
+  /// larger model or no confidence.
   /// @param aRetryBudgetUsed Fraction of the service's budget.
-  std::optional<Escalation> NextModel(const Exchange& aExchange,
-                                      double aRetryBudgetUsed) const;
+  std::optional<Judgement> Judge(const Exchange& aExchange,
+                                 double aRetryBudgetUsed) const;
 
   /// @brief Records that an attempt is sent for the exchange.
   void RecordSend(const Exchange& aExchange, Attempt& aAttempt);
--- a/src/hibiscusnotch/entry/request_description.cpp
+++ b/src/hibiscusnotch/entry/request_description.cpp
@@ -2,6 +2,8 @@
 
 #include "request_traits.hpp"
 
+#include <cmath>
+
 namespace hibiscusnotch::entry {
 
 namespace {
@@ -70,4 +72,21 @@
             : "");
 }
 
+std::string
+DescribeKeptAnswer(const Attempt& aAttempt,
+                   const ModelChooser::Judgement& aJudgement,
+                   double aRetryBudgetUsed,
+                   std::string_view aCause)
+{
+  const auto percent = [](double aFraction) {
+    return std::to_string(std::lround(aFraction * 100));
+  };
+  return " model=" + aAttempt.model +
+         " confidence=" + std::to_string(*aAttempt.metadata.confidence) +
+         " keep_from=" + std::to_string(aJudgement.minConfidence) +
+         " cause=" + std::string(aCause) +
+         " load_percent=" + percent(aJudgement.crowding) +
+         " budget_percent=" + percent(aRetryBudgetUsed);
+}
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_description.hpp
+++ b/src/hibiscusnotch/entry/request_description.hpp
@@ -4,6 +4,7 @@
 
 #include "exchange.hpp"
 #include "hibiscusnotch/entry/fleet_state.hpp"
+#include "model_chooser.hpp"
 
 #include <string>
 #include <string_view>
@@ -28,4 +29,11 @@
                    std::string_view aWhy,
                    TimePoint aNow);
 
+/// @brief Why a smaller model's poor answer is kept.
+std::string
+DescribeKeptAnswer(const Attempt& aAttempt,
+                   const ModelChooser::Judgement& aJudgement,
+                   double aRetryBudgetUsed,
+                   std::string_view aCause);
+
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -518,30 +518,43 @@
     const Attempt& attempt = *aExchange.attempt;
     const double budgetUsed = retryBudgets_[attempt.service].Used(
       options_.retryBudget, fleet_.InstanceCount(), timers_.Now());
-    const auto next = models_.NextModel(aExchange, budgetUsed);
-    if (!next || !aExchange.route.RetrySafe() ||
-        aExchange.executions >= aExchange.route.maxAttempts ||
-        IsQuarantined(aExchange, options_, fleet_, timers_.Now())) {
+    const auto judged = models_.Judge(aExchange, budgetUsed);
+    const auto keep = [&](std::string_view aCause) {
+      if (judged && judged->isPoor) {
+        log_.Write(EventNumber::AnswerKept,
+                   Describe(aExchange) +
+                     DescribeKeptAnswer(attempt, *judged, budgetUsed, aCause));
+      }
       models_.RecordDecision(aExchange, false);
       return false;
+    };
+    if (!judged || !judged->next) {
+      return keep(judged ? routing::Name(judged->cause) : "");
+    }
+    if (!aExchange.route.RetrySafe() ||
+        aExchange.executions >= aExchange.route.maxAttempts) {
+      return keep(core::ToString(Reason::AttemptsUsedUp));
+    }
+    if (IsQuarantined(aExchange, options_, fleet_, timers_.Now())) {
+      return keep(core::ToString(Reason::Quarantined));
     }
     const std::vector<UpstreamId> tried = std::exchange(aExchange.tried, {});
     Reason reason = Reason::NoUpstream;
-    const auto chosen = planner_.ChooseUpstream(aExchange, next->model, reason);
+    const auto chosen =
+      planner_.ChooseUpstream(aExchange, *judged->next, reason);
     if (!chosen || !AcquireRetry(aExchange, kEscalationBudgetShare)) {
       aExchange.tried = tried;
-      models_.RecordDecision(aExchange, false);
-      return false;
+      return keep(core::ToString(chosen ? Reason::RetryBudget : reason));
     }
     log_.Write(
       EventNumber::AnswerEscalated,
       Describe(aExchange) + " from=" + attempt.model +
         " confidence=" + std::to_string(*attempt.metadata.confidence) +
-        " keep_from=" + std::to_string(next->minConfidence) +
-        " load_percent=" + std::to_string(std::lround(next->crowding * 100)));
+        " keep_from=" + std::to_string(judged->minConfidence) +
+        " load_percent=" + std::to_string(std::lround(judged->crowding * 100)));
     models_.RecordDecision(aExchange, true);
     EndAttempt(aExchange);
-    aExchange.modelIndex = next->model;
+    aExchange.modelIndex = *judged->next;
     aExchange.isEscalated = true;
     Send(aExchange, *chosen);
     return true;
--- a/src/hibiscusnotch/routing/model_cascade.cpp
+++ b/src/hibiscusnotch/routing/model_cascade.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace hibiscusnotch::routing {
 
@@ -142,6 +143,74 @@
     static_cast<int>(std::lround(confidence)), 0, kMaxConfidence + 1);
 }
 
+namespace {
+
+CascadeView
+WithoutTime(CascadeView aView)
+{
+  aView.largestRun.reset();
+  return aView;
+}
+
+CascadeView
+WithoutCrowding(CascadeView aView)
+{
+  aView.crowding = 0;
+  aView.load = 0;
+  return aView;
+}
+
+CascadeView
+WithoutRationing(CascadeView aView)
+{
+  aView.retryBudgetUsed = 0;
+  return aView;
+}
+
+} // namespace
+
+std::string_view
+Name(KeepCause aCause)
+{
+  switch (aCause) {
+    case KeepCause::Time:
+      return "late";
+    case KeepCause::Crowding:
+      return "crowding";
+    case KeepCause::RetryBudget:
+      return "retry_budget";
+    case KeepCause::None:
+      break;
+  }
+  return "none";
+}
+
+int
+RestingMinConfidence(const ModelCascadeOptions& aOptions,
+                     const CascadeView& aView)
+{
+  return MinConfidence(aOptions,
+                       WithoutTime(WithoutCrowding(WithoutRationing(aView))));
+}
+
+KeepCause
+CauseOfKeeping(const ModelCascadeOptions& aOptions, const CascadeView& aView)
+{
+  KeepCause cause = KeepCause::None;
+  int highest = MinConfidence(aOptions, aView);
+  for (const auto& [candidate, view] :
+       { std::pair(KeepCause::Time, WithoutTime(aView)),
+         std::pair(KeepCause::Crowding, WithoutCrowding(aView)),
+         std::pair(KeepCause::RetryBudget, WithoutRationing(aView)) }) {
+    const int without = MinConfidence(aOptions, view);
+    if (without > highest) {
+      highest = without;
+      cause = candidate;
+    }
+  }
+  return cause;
+}
+
 std::optional<std::size_t>
 NextModel(const ModelCascadeOptions& aOptions,
           std::size_t aModelCount,
--- a/src/hibiscusnotch/routing/model_cascade_test.cpp
+++ b/src/hibiscusnotch/routing/model_cascade_test.cpp
@@ -45,6 +45,28 @@
   CHECK_FALSE(NextModel(options, 3, 2, 0, IdleView()));
 }
 
+TEST_CASE("the cause of a lowered confidence threshold is named")
+{
+  const ModelCascadeOptions options;
+  CascadeView view = IdleView();
+  const int resting = RestingMinConfidence(options, view);
+  CHECK(resting == MinConfidence(options, view));
+  CHECK(CauseOfKeeping(options, view) == KeepCause::None);
+  view.crowding = 0.6;
+  CHECK(CauseOfKeeping(options, view) == KeepCause::Crowding);
+  view.retryBudgetUsed = 1;
+  CHECK(CauseOfKeeping(options, view) != KeepCause::None);
+  view.crowding = 0;
+  CHECK(CauseOfKeeping(options, view) == KeepCause::RetryBudget);
+  view.retryBudgetUsed = 0;
+  view.elapsed = view.latencyTarget;
+  CHECK(CauseOfKeeping(options, view) == KeepCause::Time);
+  CHECK(RestingMinConfidence(options, view) == resting);
+  CascadeView unpriced = ViewAtLoad(0.5);
+  CHECK(CauseOfKeeping(options, unpriced) == KeepCause::Crowding);
+  CHECK(RestingMinConfidence(options, unpriced) == options.minConfidence);
+}
+
 TEST_CASE("an answer without a confidence is kept")
 {
   CHECK_FALSE(NextModel({}, 3, 0, std::nullopt, {}));
