Name the causes of a lowered confidence threshold in usual terms

Renames only (ThresholdCause, BaselineMinConfidence, ToString), and the context of placement sets the unreachable zones by name.

--- a/include/hibiscusnotch/routing/model_cascade.hpp
+++ b/include/hibiscusnotch/routing/model_cascade.hpp
@@ -86,10 +86,10 @@
 int
 MinConfidence(const ModelCascadeOptions& aOptions, const CascadeView& aView);
 
-/// @brief What lowers the minimum confidence most.
-enum class KeepCause
+/// @brief What can lower the minimum confidence.
+enum class ThresholdCause
 {
-  None, ///< It is as high as at rest.
+  None, ///< It is as high as without load.
   Time, ///< A larger model's answer would be late.
   Crowding,
   RetryBudget,
@@ -97,17 +97,18 @@
 
 /// @brief The name in log lines.
 std::string_view
-Name(KeepCause aCause);
+ToString(ThresholdCause aCause);
 
-/// @brief Minimum confidence to keep an answer as it would be at rest: in time,
-/// without crowding and with the whole retry budget.
+/// @brief Minimum confidence to keep an answer without load: a larger model's
+/// answer would be in time, and no retry budget is used.
 int
-RestingMinConfidence(const ModelCascadeOptions& aOptions,
-                     const CascadeView& aView);
+BaselineMinConfidence(const ModelCascadeOptions& aOptions,
+                      const CascadeView& aView);
 
-/// @brief The state that lowers the minimum confidence most.
-KeepCause
-CauseOfKeeping(const ModelCascadeOptions& aOptions, const CascadeView& aView);
+/// @brief What lowers the minimum confidence most now.
+ThresholdCause
+CauseOfLowThreshold(const ModelCascadeOptions& aOptions,
+                    const CascadeView& aView);
 
 /// @brief Index of the model to run next; nothing if the answer is kept.
 /// @param aModelCount Number of models, smallest first.
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -226,21 +226,22 @@
 AttemptPlanner::Context() const
 {
   RefreshShares();
-  return { fleet_.upstreams,
-           fleet_.evacuatedZones,
-           options_.zone,
-           [this](const routing::Upstream& aUpstream) {
-             return ColdStartRateLimit(aUpstream);
-           },
-           timers_.Now(),
-           [this](const routing::Upstream& aUpstream) {
-             return SlotShareOf(aUpstream);
-           },
-           options_.placeByTime,
-           &timings_,
-           false,
-           {},
-           &fleet_.unreachableZones };
+  routing::PlacementContext context{
+    fleet_.upstreams,
+    fleet_.evacuatedZones,
+    options_.zone,
+    [this](const routing::Upstream& aUpstream) {
+      return ColdStartRateLimit(aUpstream);
+    },
+    timers_.Now(),
+    [this](const routing::Upstream& aUpstream) {
+      return SlotShareOf(aUpstream);
+    },
+    options_.placeByTime,
+    &timings_
+  };
+  context.unreachableZones = &fleet_.unreachableZones;
+  return context;
 }
 
 std::optional<uint64_t>
--- a/src/hibiscusnotch/entry/model_chooser.cpp
+++ b/src/hibiscusnotch/entry/model_chooser.cpp
@@ -94,9 +94,10 @@
     routing::NextModel(options, count, aExchange.modelIndex, confidence, view);
   judgement.minConfidence = routing::MinConfidence(options, view);
   judgement.crowding = prices.empty() ? view.load : view.crowding;
-  judgement.isPoor = *confidence < routing::RestingMinConfidence(options, view);
+  judgement.isPoor =
+    *confidence < routing::BaselineMinConfidence(options, view);
   if (judgement.isPoor) {
-    judgement.cause = routing::CauseOfKeeping(options, view);
+    judgement.cause = routing::CauseOfLowThreshold(options, view);
   }
   return judgement;
 }
--- a/src/hibiscusnotch/entry/model_chooser.hpp
+++ b/src/hibiscusnotch/entry/model_chooser.hpp
@@ -36,8 +36,9 @@
     std::optional<std::size_t> next;
     int minConfidence = 0; ///< Answers of at least this one are kept.
     double crowding = 0;   ///< Or the load, for models without prices.
-    bool isPoor = false;   ///< At rest a larger model would be asked.
-    routing::KeepCause cause = routing::KeepCause::None; ///< If it is poor.
+    bool isPoor = false;   ///< Without load a larger model is asked.
+    routing::ThresholdCause cause =
+      routing::ThresholdCause::None; ///< If it is poor.
   };
 
   /// @brief Judges the answer of the exchange's attempt; nothing if there is no
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -529,7 +529,7 @@
       return false;
     };
     if (!judged || !judged->next) {
-      return keep(judged ? routing::Name(judged->cause) : "");
+      return keep(judged ? routing::ToString(judged->cause) : "");
     }
     if (!aExchange.route.RetrySafe() ||
         aExchange.executions >= aExchange.route.maxAttempts) {
--- a/src/hibiscusnotch/routing/model_cascade.cpp
+++ b/src/hibiscusnotch/routing/model_cascade.cpp
@@ -170,38 +170,39 @@
 } // namespace
 
 std::string_view
-Name(KeepCause aCause)
+ToString(ThresholdCause aCause)
 {
   switch (aCause) {
-    case KeepCause::Time:
+    case ThresholdCause::Time:
       return "late";
-    case KeepCause::Crowding:
+    case ThresholdCause::Crowding:
       return "crowding";
-    case KeepCause::RetryBudget:
+    case ThresholdCause::RetryBudget:
       return "retry_budget";
-    case KeepCause::None:
+    case ThresholdCause::None:
       break;
   }
   return "none";
 }
 
 int
-RestingMinConfidence(const ModelCascadeOptions& aOptions,
-                     const CascadeView& aView)
+BaselineMinConfidence(const ModelCascadeOptions& aOptions,
+                      const CascadeView& aView)
 {
   return MinConfidence(aOptions,
                        WithoutTime(WithoutCrowding(WithoutRationing(aView))));
 }
 
-KeepCause
-CauseOfKeeping(const ModelCascadeOptions& aOptions, const CascadeView& aView)
+ThresholdCause
+CauseOfLowThreshold(const ModelCascadeOptions& aOptions,
+                    const CascadeView& aView)
 {
-  KeepCause cause = KeepCause::None;
+  ThresholdCause cause = ThresholdCause::None;
   int highest = MinConfidence(aOptions, aView);
   for (const auto& [candidate, view] :
-       { std::pair(KeepCause::Time, WithoutTime(aView)),
-         std::pair(KeepCause::Crowding, WithoutCrowding(aView)),
-         std::pair(KeepCause::RetryBudget, WithoutRationing(aView)) }) {
+       { std::pair(ThresholdCause::Time, WithoutTime(aView)),
+         std::pair(ThresholdCause::Crowding, WithoutCrowding(aView)),
+         std::pair(ThresholdCause::RetryBudget, WithoutRationing(aView)) }) {
     const int without = MinConfidence(aOptions, view);
     if (without > highest) {
       highest = without;
--- a/src/hibiscusnotch/routing/model_cascade_test.cpp
+++ b/src/hibiscusnotch/routing/model_cascade_test.cpp
@@ -49,22 +49,22 @@
 {
   const ModelCascadeOptions options;
   CascadeView view = IdleView();
-  const int resting = RestingMinConfidence(options, view);
-  CHECK(resting == MinConfidence(options, view));
-  CHECK(CauseOfKeeping(options, view) == KeepCause::None);
+  const int baseline = BaselineMinConfidence(options, view);
+  CHECK(baseline == MinConfidence(options, view));
+  CHECK(CauseOfLowThreshold(options, view) == ThresholdCause::None);
   view.crowding = 0.6;
-  CHECK(CauseOfKeeping(options, view) == KeepCause::Crowding);
+  CHECK(CauseOfLowThreshold(options, view) == ThresholdCause::Crowding);
   view.retryBudgetUsed = 1;
-  CHECK(CauseOfKeeping(options, view) != KeepCause::None);
+  CHECK(CauseOfLowThreshold(options, view) != ThresholdCause::None);
   view.crowding = 0;
-  CHECK(CauseOfKeeping(options, view) == KeepCause::RetryBudget);
+  CHECK(CauseOfLowThreshold(options, view) == ThresholdCause::RetryBudget);
   view.retryBudgetUsed = 0;
   view.elapsed = view.latencyTarget;
-  CHECK(CauseOfKeeping(options, view) == KeepCause::Time);
-  CHECK(RestingMinConfidence(options, view) == resting);
+  CHECK(CauseOfLowThreshold(options, view) == ThresholdCause::Time);
+  CHECK(BaselineMinConfidence(options, view) == baseline);
   CascadeView unpriced = ViewAtLoad(0.5);
-  CHECK(CauseOfKeeping(options, unpriced) == KeepCause::Crowding);
-  CHECK(RestingMinConfidence(options, unpriced) == options.minConfidence);
+  CHECK(CauseOfLowThreshold(options, unpriced) == ThresholdCause::Crowding);
+  CHECK(BaselineMinConfidence(options, unpriced) == options.minConfidence);
 }
 
 TEST_CASE("an answer without a confidence is kept")
