--- a/include/hibiscusnotch/entry/uplink_guard.hpp
+++ b/include/hibiscusnotch/entry/uplink_guard.hpp
@@ -87,7 +87,7 @@
   /// Connects to a sample of each zone's upstreams.
   void Probe(const std::set<std::string>& aZones,
              std::size_t aSampleSize,
-             std::function<void(const Check& aCheck)> aFinish);
+             const std::function<void(const Check& aCheck)>& aFinish);
   void FinishCheck(const Check& aCheck);
   void SetReached(const std::string& aName, TimePoint aAt);
   void SetLost(const std::string& aName, std::size_t aUpstreams);
--- a/src/hibiscusnotch/entry/uplink_guard.cpp
+++ b/src/hibiscusnotch/entry/uplink_guard.cpp
@@ -214,7 +214,7 @@
 void
 UplinkGuard::Probe(const std::set<std::string>& aZones,
                    std::size_t aSampleSize,
-                   std::function<void(const Check& aCheck)> aFinish)
+                   const std::function<void(const Check& aCheck)>& aFinish)
 {
   const auto usable = UsableUpstreams();
   const auto check = std::make_shared<Check>();
--- a/src/hibiscusnotch/routing/head_waits_test.cpp
+++ b/src/hibiscusnotch/routing/head_waits_test.cpp
@@ -137,6 +137,7 @@
 {
   Fixture fixture;
   std::vector<HeadWaitId> ended;
+  ended.reserve(6);
   for (int send = 0; send < 6; ++send) {
     ended.push_back(
       fixture.waits.Add(kSound, fixture.now, fixture.now + kTarget));
