--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -464,8 +464,16 @@
             const std::scoped_lock lock(mutex_);
             ++calls_[endpoint.Text()];
           }
-          if (!aOne.Write(Answer(*request, aOne)) ||
-              request->Header("Connection") == "close") {
+          const double arrivedAt = Now();
+          const std::string answer = Answer(*request, aOne);
+          if (IsLost(arrivedAt)) {
+            // A connection on which a response is lost returns nothing more.
+            while (!aOne.PeerClosed()) {
+              Sleep(0.05);
+            }
+            return;
+          }
+          if (!aOne.Write(answer) || request->Header("Connection") == "close") {
             return;
           }
         }
@@ -473,6 +481,17 @@
     return endpoint;
   }
 
+  /// @brief From now on for some time the store answers no call, also none that
+  /// waits already; connections stay open. Returns the time of its end.
+  double GoSilent(double aSeconds)
+  {
+    const std::scoped_lock lock(mutex_);
+    silentFrom_ = Now();
+    silentUntil_ = silentFrom_ + aSeconds;
+    record_.Line("store  is silent for " + std::to_string(aSeconds) + " s");
+    return silentUntil_;
+  }
+
   /// @brief Calls so far at an address.
   int Calls(const Endpoint& aEndpoint)
   {
@@ -511,6 +530,13 @@
   }
 
 private:
+  /// True if the store was silent while the call was open.
+  bool IsLost(double aArrivedAt)
+  {
+    const std::scoped_lock lock(mutex_);
+    return aArrivedAt < silentUntil_ && Now() >= silentFrom_;
+  }
+
   struct Object
   {
     std::string spec = "null";
@@ -676,6 +702,8 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, int> calls_;
+  double silentFrom_ = 0;
+  double silentUntil_ = 0;
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::vector<Event> history_;
   uint64_t revision_ = 1;
