End watches of the store whose response was lost

Cause: a change that falls into a silence is lost with its response, and the connection says nothing more. The watch of the configuration is due every second and fails soon; those of the other kinds are held for 8 s and time out 0.9 s after that. Nothing related the two. The same holds for a watch that a reader without mirrors sent into the silence.

Change: MakeLossDetectingStore wraps the store client. The first response after a missing one ends the other open watches, which are sent again with a short timeout. A revision that no response has brought after 1.5 s ends the watches that may have missed it; so a silence that no other call ran into is noticed too. A response of a newer era ends the watches of the former one. E743 watch_lost says which and why. After a failure all kinds confirm their state with a short watch, as the configuration did.

Tests on the paused clock: without the detection four of the five new cases fail, among them "a change during a short silence of the store is seen soon after" in 17 of 60 combinations. A store that does not fail gets no call more (fifth case).

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -72,6 +72,7 @@
   UpstreamLoadUnreadable = 740,
   RequestQueued = 741,
   SlowReaderEnded = 742,
+  WatchLost = 743,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -83,6 +83,10 @@
   Refused,    ///< Rate limited or unavailable; the call had no effect.
   NoResponse, ///< No readable response in time; a write may have taken effect.
   MirrorFailed, ///< A peer's mirror failed; other sources may work.
+  /// @brief The store was silent while the watch was open and responds again.
+  WatchLost,
+  /// @brief The store has changes that the open watch may have missed.
+  WatchOutdated,
 };
 
 template<class Result>
--- a/include/hibiscusnotch/store/watcher.hpp
+++ b/include/hibiscusnotch/store/watcher.hpp
@@ -20,6 +20,9 @@
   /// @brief Timeout of the watch that follows a change. A change confirms the
   /// state only as of its request; a short watch confirms it sooner.
   Duration watchTimeoutAfterChange{ 10'000'000 };
+  /// @brief The same after a failure or an outage, so that the state is
+  /// confirmed soon.
+  Duration watchTimeoutAfterFailure{ 500'000 };
   /// @brief Delay after a change, so that one call fetches several changes. It
   /// is small against the shortest propagation bound, which is two seconds.
   Duration batchDelay{ 250'000 };
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusnotch/entry/mirror_role.hpp"
 #include "hibiscusnotch/entry/rollout_writer.hpp"
+#include "hibiscusnotch/store/loss_detecting_store.hpp"
 #include "hibiscusnotch/store/mirrored_store.hpp"
 
 #include <algorithm>
@@ -71,9 +72,13 @@
     : options_(std::move(aOptions))
     , timers_(relay::MakeTimers(aContext, relay::BootClock()))
     , client_(relay::MakeOutboundClient(aContext, *timers_))
-    , store_(aDependencies.makeStore(*client_, *timers_))
+    , storeClient_(aDependencies.makeStore(*client_, *timers_))
     , metrics_(observe::MakeMetrics())
     , log_(*timers_, EventLogOptionsFor(options_.instanceName))
+    , store_(store::MakeLossDetectingStore(*storeClient_,
+                                           *timers_,
+                                           {},
+                                           LossObserver()))
     , router_(MakeRequestRouter(options_.router,
                                 { *timers_,
                                   *client_,
@@ -185,6 +190,17 @@
              } };
   }
 
+  store::LossDetectionObserver LossObserver()
+  {
+    return { [this](const std::string& aKind,
+                    store::WatchLoss aReason,
+                    Duration aOpen) {
+      log_.Write(EventNumber::WatchLost,
+                 "kind=" + aKind + " why=" + store::WatchLossName(aReason) +
+                   " open_ms=" + std::to_string(aOpen.count() / 1000));
+    } };
+  }
+
   store::MirroredStoreObserver StoreObserver()
   {
     return { [this] { return SourcePeers(); },
@@ -333,9 +349,10 @@
   FleetState fleet_;
   std::unique_ptr<relay::Timers> timers_;
   std::unique_ptr<relay::OutboundClient> client_;
-  std::unique_ptr<store::ObjectStore> store_;
+  std::unique_ptr<store::ObjectStore> storeClient_;
   std::unique_ptr<observe::Metrics> metrics_;
   EventLog log_;
+  std::unique_ptr<store::ObjectStore> store_;
   std::unique_ptr<RequestRouter> router_;
   relay::UnsentBudget unsentBudget_;
   std::unique_ptr<relay::Listener> callerListener_;
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -56,6 +56,10 @@
       return "no_answer";
     case StoreError::MirrorFailed:
       return "source_lost";
+    case StoreError::WatchLost:
+      return "watch_lost";
+    case StoreError::WatchOutdated:
+      return "watch_outdated";
   }
   return "no_answer";
 }
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -10,7 +10,8 @@
 constexpr Duration kInitialBackoff{ 100'000 };
 // Well within the shortest propagation bound.
 constexpr Duration kMaxBackoff{ 400'000 };
-constexpr Duration kRelistDelay{ 10'000 }; // after a lost history
+constexpr Duration kRelistDelay{ 10'000 };  // after a lost history
+constexpr Duration kRewatchDelay{ 20'000 }; // after a lost watch
 // Shorter than a backoff: the next call goes to another source.
 constexpr Duration kMirrorSwitchDelay{ 50'000 };
 // Entries that expired during an outage are restored within about this time.
@@ -193,6 +194,22 @@
         });
       return;
     }
+    if (aError == StoreError::WatchLost ||
+        aError == StoreError::WatchOutdated) {
+      // The store responds. After an outage, a short watch confirms the state.
+      const bool outage = aError == StoreError::WatchLost;
+      if (outage) {
+        outageEndedAt_ = timers_.Now();
+      }
+      std::uniform_real_distribution<double> jitter(0.5, 1.5);
+      timers_.After(
+        core::FromSeconds(core::Seconds(kRewatchDelay) * jitter(random_)),
+        [this, outage] {
+          Watch(outage ? options_.watchTimeoutAfterFailure
+                       : options_.watchTimeout);
+        });
+      return;
+    }
     if (aError == StoreError::HistoryGone) {
       // The source responds; its readers must not lose it over a new list.
       std::uniform_real_distribution<double> jitter(0.7, 1.3);
@@ -215,7 +232,7 @@
       if (aListAgain) {
         ListFrom("");
       } else {
-        Watch(options_.watchTimeoutAfterChange);
+        Watch(options_.watchTimeoutAfterFailure);
       }
     });
   }
