Do not take a response to another request for this one's

But a refusal was believed whatever request it named. Only successes were checked for the Request-Id that upstreams echo. A failure of another request was kept for the caller, too.

Change: a response that names another request counts as one that says nothing: the request may have run, nothing of it is forwarded, and its load, limit and pause are not applied. Without a Request-Id it counts as before.

--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -53,8 +53,9 @@
   std::size_t eventsBefore = 0; ///< Events of the stream's former attempts.
   bool accepted = false;        ///< Its response is forwarded to the caller.
   std::optional<relay::ResponseHead> head;
-  ResponseMetadata metadata;
-  std::string body; ///< Buffered until complete.
+  ResponseMetadata metadata; ///< Empty for a response to another request.
+  bool isForeign = false;    ///< The response is to another request.
+  std::string body;          ///< Buffered until complete.
 };
 
 /// @brief An upstream's error response, for the caller if all attempts fail.
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -473,7 +473,11 @@
     Attempt& attempt = *exchange.attempt;
     attempt.head = aHead;
     attempt.metadata = headerCodec_.ReadResponse(aHead);
-    if (attempt.peer.empty()) {
+    if (IsForAnotherRequest(exchange, attempt)) {
+      // Nothing that it states, above all "not run", is about this request.
+      attempt.metadata = {};
+      attempt.isForeign = true;
+    } else if (attempt.peer.empty()) {
       recorder_.RecordUpstreamState(attempt);
     } else {
       attempt.metadata.notExecuted = IsRefusalOfPeer(attempt);
@@ -741,7 +745,8 @@
       return;
     }
     const bool valid = IsValidSuccess(aExchange, aAttempt);
-    const bool good = valid || (status < kServerError && status / 100 != 2);
+    const bool good = valid || (status < kServerError && status / 100 != 2 &&
+                                !aAttempt.isForeign);
     recorder_.RecordResult(aExchange, aAttempt, good);
     if (valid || (good && aAttempt.metadata.sealed)) {
       recorder_.RecordCompletion(aExchange);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -233,6 +233,40 @@
   CHECK_FALSE(Contains(fixture.Response(id).body, "other"));
 }
 
+TEST_CASE("a refusal of another request is no promise for this one")
+{
+  // Guards against "not run" for a request that runs: a faulty upstream writes
+  // an earlier refusal once more.
+  for (const int status : { 503, 429, 421, 400 }) {
+    Fixture fixture;
+    const auto id = fixture.Request("unsafe");
+    ResponseHead head = fixture.Head(status, { { "not-run", "1" } });
+    head.headers[0].second = "r99";
+    fixture.client.Head(0, head);
+    fixture.client.End(0, CallOutcome::Complete);
+    CAPTURE(status);
+    CHECK(fixture.client.sent.size() == 1); // no second upstream runs it
+    CHECK(fixture.Response(id).status == 502);
+    CHECK(Contains(fixture.Response(id).body, "may_have_run"));
+  }
+}
+
+TEST_CASE("a failure of another request is not forwarded")
+{
+  Fixture fixture;
+  const auto id = fixture.Request("safe");
+  for (const std::size_t send : { 0, 1 }) {
+    REQUIRE(fixture.client.sent.size() == send + 1);
+    ResponseHead head = fixture.Head(500);
+    head.headers[0].second = "r99";
+    fixture.client.Head(send, head);
+    fixture.client.Body(send, "other");
+    fixture.client.End(send, CallOutcome::Complete);
+  }
+  CHECK(fixture.Response(id).status == 502);
+  CHECK_FALSE(Contains(fixture.Response(id).body, "other"));
+}
+
 TEST_CASE("a success with a content encoding is rejected")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/entry/response_check.cpp
+++ b/src/hibiscusnotch/entry/response_check.cpp
@@ -18,6 +18,14 @@
          net::FindHeader(aAttempt.head->headers, "Content-Encoding").empty();
 }
 
+bool
+IsForAnotherRequest(const Exchange& aExchange, const Attempt& aAttempt)
+{
+  const std::string& named = aAttempt.metadata.requestId;
+  return !named.empty() && !aExchange.metadata.requestId.empty() &&
+         named != aExchange.metadata.requestId;
+}
+
 bool
 IsRefusalOfPeer(const Attempt& aAttempt)
 {
--- a/src/hibiscusnotch/entry/response_check.hpp
+++ b/src/hibiscusnotch/entry/response_check.hpp
@@ -11,6 +11,11 @@
 bool
 IsValidSuccess(const Exchange& aExchange, const Attempt& aAttempt);
 
+/// @brief True if the response names another request. An upstream may have
+/// written an earlier response once more.
+bool
+IsForAnotherRequest(const Exchange& aExchange, const Attempt& aAttempt);
+
 /// @brief True if an instance answered itself that the request has not run.
 bool
 IsRefusalOfPeer(const Attempt& aAttempt);
