Keep error responses out of streams that have begun

This can happen here, on two paths: a resumed attempt that ends with a sealed 3xx or 4xx, and one through another instance that ends with any sealed failure. Both wrote the whole response into the running one and finished it.

Change: once events have been forwarded, a response that is not a valid stream only ends its attempt. The stream goes on at a further upstream within the route's attempts, or is aborted.

Tests: "an error response never gets into a stream that has begun" (fails on the former code at its first status, 302: status and body changed, finished) and "an error response of the hop never gets into a stream" (fails for 404, 500 and 504 in all checks).

--- a/src/hibiscusnotch/entry/cut_off_test.cpp
+++ b/src/hibiscusnotch/entry/cut_off_test.cpp
@@ -263,6 +263,31 @@
   CHECK(fixture.Response().body == "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
 }
 
+// Guards against the text of an error amid a caller's stream.
+TEST_CASE("an error response of the hop never gets into a stream")
+{
+  for (const int status : { 404, 500, 504 }) {
+    ForwardFixture fixture;
+    const std::size_t call = fixture.Forward("stream");
+    relay::ResponseHead head;
+    head.status = 200;
+    head.headers = { { "id", fixture.OwnId() }, { "seal", "s" } };
+    head.isSelfDelimited = true;
+    fixture.cutOff.client.Head(call, head);
+    fixture.cutOff.client.Body(call, "id: 1\ndata: x\n\n");
+    fixture.cutOff.client.End(call, relay::CallOutcome::ConnectionLost);
+    CAPTURE(status);
+    REQUIRE(fixture.cutOff.client.sent.size() == call + 2);
+    fixture.Reply(call + 1,
+                  status,
+                  { { "id", fixture.OwnId() }, { "seal", "s" } });
+    CHECK(fixture.Response().status == 200);
+    CHECK(fixture.Response().body == "id: 1\ndata: x\n\n");
+    CHECK(fixture.Response().aborted);
+    CHECK_FALSE(fixture.Response().finished);
+  }
+}
+
 // Guards against work for callers that have left, and against upstreams that
 // get more time than is left.
 TEST_CASE("cancellation and deadline hold across the hop")
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -748,6 +748,11 @@
     const bool good = valid || (status < kServerError && status / 100 != 2 &&
                                 !aAttempt.isForeign);
     recorder_.RecordResult(aExchange, aAttempt, good);
+    if (aExchange.responseStarted) {
+      // A whole response cannot follow the events that the caller has.
+      Retry(aExchange, Reason::UpstreamFailed, true);
+      return;
+    }
     if (valid || (good && aAttempt.metadata.sealed)) {
       recorder_.RecordCompletion(aExchange);
       SendResponse(aExchange, *aAttempt.head, aAttempt.body);
@@ -769,7 +774,7 @@
       Retry(aExchange, Reason::NoReach, false);
       return;
     }
-    if (!aAttempt.metadata.sealed) {
+    if (!aAttempt.metadata.sealed || aExchange.responseStarted) {
       GiveUp(aExchange, Reason::UpstreamFailed);
       return;
     }
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -359,6 +359,33 @@
   CHECK(fixture.Response(id).finished);
 }
 
+TEST_CASE("an error response never gets into a stream that has begun")
+{
+  // Guards against the text of an error, or its head, amid a caller's stream,
+  // and against a stream that ends there as if it were complete.
+  for (const int status : { 302, 400, 404, 409, 413, 500, 501, 504 }) {
+    Fixture fixture;
+    const auto id = fixture.Request("stream");
+    fixture.client.Head(0, fixture.Head(200));
+    fixture.client.Body(0, "id: 1\ndata: x\n\n");
+    fixture.client.End(0, CallOutcome::ConnectionLost);
+    CAPTURE(status);
+    REQUIRE(fixture.client.sent.size() == 2);
+    fixture.Reply(1, status);
+    CHECK(fixture.Response(id).status == 200);
+    CHECK(fixture.Response(id).body == "id: 1\ndata: x\n\n");
+    CHECK_FALSE(fixture.Response(id).finished);
+    // It goes on at a third upstream, or ends as broken.
+    while (!fixture.Response(id).aborted) {
+      const std::size_t last = fixture.client.sent.size() - 1;
+      REQUIRE(fixture.client.IsOpen(last));
+      fixture.Reply(last, status);
+    }
+    CHECK(fixture.Response(id).body == "id: 1\ndata: x\n\n");
+    CHECK_FALSE(fixture.Response(id).finished);
+  }
+}
+
 TEST_CASE("a stream that ends within an event is not complete")
 {
   Fixture fixture;
