Let an entry that cannot be decoded cost itself alone

Cause: a list or watch response was decoded as a whole, so a lone surrogate, a byte that is not UTF-8 or a number out of range cost all entries; a value nested 250,000 levels deep passed and overflowed the stack in a copy. Mirrors' responses were decoded by recursion, too. Numbers were converted unchecked: a port of an instance's entry was cut to 16 bits, and a double beyond an integer's range is undefined.

What cannot be decoded keeps name and revision and carries the reason through watcher, mirror and its readers; a nameless item no longer ends a list of several pages. Mirror responses are checked without recursion first. A mirror's log holds 4 MB at most. E722 is written once a revision, with printable text of bounded length, and hibiscusnotch_unreadable_objects counts.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,8 @@
 # debug information, which clang 14 fails to emit for the coroutines here.
 FUZZ_RUNS ?= 100000
 FUZZERS := message_codec_fuzzer sse_reader_fuzzer settings_fuzzer \
-  claim_bucket_fuzzer http_reader_fuzzer peer_message_fuzzer headers_fuzzer
+  claim_bucket_fuzzer http_reader_fuzzer peer_message_fuzzer headers_fuzzer \
+  mirror_fuzzer store_response_fuzzer
 
 fuzz: packages
 	@cmake -S . -B $(BUILD)-fuzz -G Ninja -DHIBISCUSNOTCH_FUZZ=ON \
--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -44,7 +44,10 @@
   std::shared_ptr<const routing::Configuration> configuration;
   /// @brief All configuration changes up to this time are known here.
   TimePoint configurationConfirmedAt{};
-  /// @brief The same for each kind of object.
+  /// @brief Objects that are ignored since they cannot be read, by kind and
+  /// name, with the revision that was logged.
+  std::map<std::string, std::map<std::string, uint64_t>> unreadableObjects;
+  /// @brief The same as configurationConfirmedAt for each kind of object.
   std::map<std::string, TimePoint> listsConfirmedAt;
   bool upstreamsKnown = false;
   routing::UpstreamTable upstreams;
--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -36,6 +36,7 @@
   UplinksLost,
   LimitedUpstreams,
   UnsentBytes,
+  UnreadableObjects,
 };
 
 enum class Counter
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/core/time.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -36,6 +37,10 @@
   uint64_t creationRevision = 0; ///< Store revision of its creation.
   nlohmann::json spec;
   nlohmann::json status;
+  /// @brief Why spec or status could not be decoded and are null; empty if they
+  /// could.
+  std::string unreadable;
+  std::size_t encodedSize = 0; ///< Bytes in the store's response.
 };
 
 struct ListPage
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -324,6 +324,12 @@
     }
     metrics_->Set(observe::Gauge::StoreEra,
                   static_cast<double>(fleet_.storeEra));
+    std::size_t unreadable = 0;
+    for (const auto& [kind, objects] : fleet_.unreadableObjects) {
+      unreadable += objects.size();
+    }
+    metrics_->Set(observe::Gauge::UnreadableObjects,
+                  static_cast<double>(unreadable));
     for (const auto& [kind, confirmedAt] : fleet_.listsConfirmedAt) {
       metrics_->SetListAge(kind, timers_->Now() - confirmedAt);
     }
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <random>
 #include <set>
@@ -35,6 +36,8 @@
 // Objects that a restored store lacks count for this time: operators and other
 // instances write them again.
 constexpr Duration kRestoredObjectHold{ 5'000'000 };
+// Of a name or reason in a log line.
+constexpr std::size_t kMaxLoggedText = 120;
 // More changes of upstreams at once are logged as counts.
 constexpr std::size_t kMaxUpstreamLines = 4;
 
@@ -64,6 +67,57 @@
   return "no_answer";
 }
 
+/// Zero if the value is no whole number above it.
+uint64_t
+ReadCount(const nlohmann::json& aValue)
+{
+  const bool positive =
+    aValue.is_number_unsigned() ||
+    (aValue.is_number_integer() && aValue.get<int64_t>() > 0);
+  return positive ? aValue.get<uint64_t>() : 0;
+}
+
+/// @param aLastReason Set if the object cannot be read.
+std::optional<InstanceInfo>
+ReadInstance(const Object& aObject, std::string& aLastReason)
+{
+  InstanceInfo instance;
+  try {
+    instance.endpoint.address = aObject.spec.at("ip").get<std::string>();
+    const auto port = ReadCount(aObject.spec.at("port"));
+    // The next port is that of forwarded requests.
+    if (port == 0 || port >= std::numeric_limits<uint16_t>::max()) {
+      aLastReason = "port out of range";
+      return std::nullopt;
+    }
+    instance.endpoint.port = static_cast<uint16_t>(port);
+    instance.zone = aObject.spec.at("zone").get<std::string>();
+    if (const auto capacity = aObject.spec.find("capacity");
+        capacity != aObject.spec.end()) {
+      instance.capacity = static_cast<uint32_t>(std::min<uint64_t>(
+        ReadCount(*capacity), std::numeric_limits<uint32_t>::max()));
+    }
+  } catch (const nlohmann::json::exception& aError) {
+    aLastReason = aError.what();
+    return std::nullopt;
+  }
+  return instance;
+}
+
+/// Text of other writers as part of a log line.
+std::string
+Printable(std::string_view aText)
+{
+  std::string text(aText.substr(0, kMaxLoggedText));
+  std::ranges::replace_if(
+    text,
+    [](char aCharacter) {
+      return aCharacter <= ' ' || aCharacter > '~' || aCharacter == '"';
+    },
+    '_');
+  return text;
+}
+
 class StoreFleetSync : public FleetSync
 {
 public:
@@ -170,6 +224,7 @@
       const std::string& name = aChange.object.name;
       watched->held.erase(name);
       if (aChange.removed) {
+        ForgetUnreadable(watched->kind, name);
         watched->known.erase(name);
         watched->handlers.onRemoved(name);
       } else {
@@ -227,6 +282,7 @@
       }
     }
     for (const std::string& name : missing) {
+      ForgetUnreadable(aWatched.kind, name);
       aWatched.handlers.onRemoved(name);
     }
   }
@@ -438,10 +494,24 @@
                      const Object& aObject,
                      const std::string& aReason)
   {
+    uint64_t& logged = dependencies_.fleet.unreadableObjects[aKind]
+                         .emplace(aObject.name, 0)
+                         .first->second;
+    if (logged == aObject.revision && aObject.revision != 0) {
+      return; // the same version, listed again
+    }
+    logged = aObject.revision;
     dependencies_.log.Write(EventNumber::ObjectUnreadable,
-                            "kind=" + aKind + " name=" + aObject.name +
+                            "kind=" + aKind +
+                              " name=" + Printable(aObject.name) +
                               " revision=" + std::to_string(aObject.revision) +
-                              " why=\"" + aReason + '"');
+                              " why=\"" + Printable(aReason) + '"');
+  }
+
+  /// The object can be read again or is gone.
+  void ForgetUnreadable(const std::string& aKind, const std::string& aName)
+  {
+    dependencies_.fleet.unreadableObjects[aKind].erase(aName);
   }
 
   void OnConfiguration(const Object& aObject)
@@ -454,6 +524,8 @@
         dependencies_.storeCodec.Kinds().configuration, aObject, reason);
       return;
     }
+    ForgetUnreadable(dependencies_.storeCodec.Kinds().configuration,
+                     aObject.name);
     const auto& current = dependencies_.fleet.configuration;
     if (current && configuration->version <= current->version) {
       return;
@@ -478,6 +550,7 @@
       dependencies_.fleet.upstreams.Remove(aObject.name, false, now);
       return;
     }
+    ForgetUnreadable(dependencies_.storeCodec.Kinds().upstreams, aObject.name);
     ++upstreamChanges_.seen;
     upstreamChanges_.leaving += entry->leaving ? 1 : 0;
     LogUpstream(EventNumber::UpstreamSeen, [&] {
@@ -498,6 +571,7 @@
       LogUnreadable(dependencies_.storeCodec.Kinds().rollouts, aObject, reason);
       return;
     }
+    ForgetUnreadable(dependencies_.storeCodec.Kinds().rollouts, aObject.name);
     dependencies_.log.Write(
       EventNumber::RolloutOrdered,
       "service=" + order->service + " target=" + order->target +
@@ -523,18 +597,16 @@
 
   void OnInstance(const Object& aObject)
   {
-    InstanceInfo instance;
-    try {
-      instance.endpoint.address = aObject.spec.at("ip").get<std::string>();
-      instance.endpoint.port = aObject.spec.at("port").get<uint16_t>();
-      instance.zone = aObject.spec.at("zone").get<std::string>();
-      instance.capacity = aObject.spec.value("capacity", uint32_t{ 0 });
-    } catch (const nlohmann::json::exception& aError) {
-      LogUnreadable(
-        dependencies_.storeCodec.Kinds().instances, aObject, aError.what());
+    const std::string& kind = dependencies_.storeCodec.Kinds().instances;
+    std::string reason = aObject.unreadable;
+    const auto instance =
+      reason.empty() ? ReadInstance(aObject, reason) : std::nullopt;
+    if (!instance) {
+      LogUnreadable(kind, aObject, reason);
       return;
     }
-    dependencies_.fleet.instances[aObject.name] = std::move(instance);
+    ForgetUnreadable(kind, aObject.name);
+    dependencies_.fleet.instances[aObject.name] = *instance;
     ++dependencies_.fleet.membership;
   }
 
--- a/src/hibiscusnotch/entry/fleet_sync_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync_test.cpp
@@ -184,6 +184,47 @@
   CHECK(fixture.fleet.instances.at("a").capacity == 120);
 }
 
+TEST_CASE("an odd entry among the instances costs itself alone")
+{
+  // Guards against mirrors and hops at a port that was cut to 16 bits.
+  Fixture fixture;
+  std::vector<hibiscusnotch::store::Change> changes;
+  const std::vector<nlohmann::json> ports{
+    0, 65535, 70000, -1, 1e300, 18446744073709551615ULL, "7000", nullptr
+  };
+  for (std::size_t index = 0; index < ports.size(); ++index) {
+    Object odd = MakeInstance("odd" + std::to_string(index));
+    odd.spec["port"] = ports[index];
+    changes.push_back({ odd, false });
+  }
+  Object undecoded = MakeObject("undecoded", 3);
+  undecoded.unreadable = "spec: nested too deeply";
+  changes.push_back({ undecoded, false });
+  changes.push_back({ MakeInstance("d"), false });
+  fixture.store.AnswerWatch(0, changes, 11);
+  CHECK(fixture.fleet.instances.size() == 4); // self, a, b and d
+  CHECK(fixture.fleet.instances.contains("d"));
+  CHECK(fixture.fleet.unreadableObjects.at("i").size() == ports.size() + 1);
+}
+
+TEST_CASE("an unreadable object counts until it can be read or is gone")
+{
+  Fixture fixture;
+  Object odd = MakeInstance("c");
+  odd.spec = nullptr;
+  fixture.store.AnswerWatch(
+    0, { { odd, false }, { MakeObject("e", 3), false } }, 11);
+  CHECK(fixture.fleet.unreadableObjects.at("i").size() == 2);
+  fixture.timers.Advance(kSecond);
+  std::size_t watch = fixture.store.watches.size();
+  while (fixture.store.watches[--watch].kind != "i") {
+  }
+  fixture.store.AnswerWatch(
+    watch, { { MakeInstance("c"), false }, { MakeObject("e", 3), true } }, 12);
+  CHECK(fixture.fleet.unreadableObjects.at("i").empty());
+  CHECK(fixture.fleet.instances.contains("c"));
+}
+
 TEST_CASE("an instance that a restored store has forgotten registers again")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/store/mirror.cpp
+++ b/src/hibiscusnotch/store/mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <set>
+#include <vector>
 
 namespace hibiscusnotch::store {
 
@@ -11,6 +12,7 @@
 
 // A peer that lags further behind lists again.
 constexpr std::size_t kMaxLogEntries = 512;
+constexpr std::size_t kMaxLogBytes = 4UL * 1024 * 1024;
 // Readers of one mirror are rarely at more different versions at once.
 constexpr std::size_t kMaxEncodedBatches = 16;
 // A response's fields are era, revision, age, whether there was an outage, the
@@ -18,6 +20,13 @@
 // with the items.
 constexpr std::size_t kRestoreTimeField = 5;
 constexpr Duration kFormerRestoreTime{ 2'500'000 };
+// An object's fields are name, revision, creation revision, spec, status, why
+// it is unreadable, and its size. Those of former builds end with the status.
+constexpr std::size_t kUnreadableField = 5;
+constexpr std::size_t kEncodedSizeField = 6;
+// The store client does not decode values of more levels; a response has three
+// around them.
+constexpr std::size_t kMaxResponseDepth = 72;
 constexpr std::string_view kPathPrefix = "/mirror/";
 constexpr std::string_view kSinceParameter = "?since=";
 constexpr std::string_view kEraParameter = "&era=";
@@ -30,7 +39,9 @@
                        aObject.revision,
                        aObject.creationRevision,
                        aObject.spec,
-                       aObject.status });
+                       aObject.status,
+                       aObject.unreadable,
+                       aObject.encodedSize });
 }
 
 Object
@@ -42,6 +53,10 @@
   object.creationRevision = aArray.at(2).get<uint64_t>();
   object.spec = aArray.at(3);
   object.status = aArray.at(4);
+  if (aArray.size() > kEncodedSizeField) {
+    object.unreadable = aArray.at(kUnreadableField).get<std::string>();
+    object.encodedSize = aArray.at(kEncodedSizeField).get<std::size_t>();
+  }
   return object;
 }
 
@@ -53,6 +68,80 @@
   return bytes;
 }
 
+/// Checks CBOR (RFC 8949) without recursion, which json::from_cbor uses for
+/// nested values: true for one value of limited depth, as json::to_cbor writes
+/// it, with all lengths stated and no tags.
+bool
+IsShallowCbor(std::string_view aBytes)
+{
+  constexpr int kMajorTypeShift = 5;
+  constexpr unsigned kArgumentMask = 0x1F;
+  constexpr unsigned kFirstLongArgument = 24; // in 1, 2, 4 or 8 more bytes
+  constexpr unsigned kLastLongArgument = 27;
+  enum MajorType : unsigned
+  {
+    Bytes = 2,
+    Text = 3,
+    Array = 4,
+    Map = 5,
+    Tag = 6,
+  };
+  std::vector<uint64_t> missing{ 1 }; // values, by the level they belong to
+  std::size_t at = 0;
+  while (!missing.empty()) {
+    if (missing.back() == 0) {
+      missing.pop_back();
+      continue;
+    }
+    --missing.back();
+    if (at >= aBytes.size()) {
+      return false;
+    }
+    const auto initial = static_cast<unsigned char>(aBytes[at++]);
+    const unsigned type = initial >> kMajorTypeShift;
+    uint64_t argument = initial & kArgumentMask;
+    if (type == Tag || argument > kLastLongArgument) {
+      return false;
+    }
+    if (argument >= kFirstLongArgument) {
+      const std::size_t length = std::size_t{ 1 }
+                                 << (argument - kFirstLongArgument);
+      if (aBytes.size() - at < length) {
+        return false;
+      }
+      argument = 0;
+      for (std::size_t index = 0; index < length; ++index) {
+        argument = argument << 8 | static_cast<unsigned char>(aBytes[at++]);
+      }
+    }
+    const std::size_t left = aBytes.size() - at;
+    if (type == Bytes || type == Text) {
+      if (argument > left) {
+        return false;
+      }
+      at += static_cast<std::size_t>(argument);
+    } else if (type == Array || type == Map) {
+      // Each value takes a byte or more.
+      if (argument > left || missing.size() > kMaxResponseDepth) {
+        return false;
+      }
+      missing.push_back(type == Map ? argument * 2 : argument);
+    }
+  }
+  return at == aBytes.size();
+}
+
+/// Decodes a response.
+/// @throws json::exception if it is malformed or nested too deeply.
+json
+FromCbor(std::string_view aBytes)
+{
+  if (!IsShallowCbor(aBytes)) {
+    return nullptr; // fails the checks of type that follow
+  }
+  return json::from_cbor(aBytes);
+}
+
 json
 EncodeChange(const Change& aChange)
 {
@@ -111,8 +200,10 @@
 Mirror::AppendToLog(const Change& aChange, uint64_t aRevision)
 {
   changeLog_.push_back({ aRevision, aChange });
-  while (changeLog_.size() > kMaxLogEntries) {
+  logBytes_ += aChange.object.encodedSize;
+  while (changeLog_.size() > kMaxLogEntries || logBytes_ > kMaxLogBytes) {
     compactedRevision_ = changeLog_.front().revision;
+    logBytes_ -= changeLog_.front().change.object.encodedSize;
     changeLog_.pop_front();
   }
 }
@@ -132,6 +223,7 @@
     // Revisions of the former era may name other changes now.
     objects_.clear();
     changeLog_.clear();
+    logBytes_ = 0;
     hasSnapshot_ = false;
     asOf_ = aAsOf;
   }
@@ -315,7 +407,7 @@
 DecodeMirrorPage(std::string_view aBytes)
 {
   try {
-    const json message = json::from_cbor(aBytes);
+    const json message = FromCbor(aBytes);
     const MirrorResponseHead head = DecodeHead(message);
     ListPage page;
     page.asOf = head.asOf;
@@ -335,7 +427,7 @@
 DecodeMirrorBatch(std::string_view aBytes)
 {
   try {
-    const json message = json::from_cbor(aBytes);
+    const json message = FromCbor(aBytes);
     const MirrorResponseHead head = DecodeHead(message);
     ChangeBatch batch;
     batch.asOf = head.asOf;
--- a/src/hibiscusnotch/store/mirror_test.cpp
+++ b/src/hibiscusnotch/store/mirror_test.cpp
@@ -125,6 +125,60 @@
   CHECK(mirror.ChangesSince({ 2, 8 })->changes.size() == 1);
 }
 
+TEST_CASE("a response that is nested too deeply is rejected, not decoded")
+{
+  // Decoding uses the stack; another writer's entry may name any peer.
+  const std::string head("\x86\x01\x07\x00\xf4", 5);
+  for (const std::string& opening : { std::string("\x81"), // an array of one
+                                      std::string("\x9f"), // without a length
+                                      std::string("\xa1\x60"), // a map of one
+                                      std::string("\x7f"),
+                                      std::string("\x5f"), // strings in pieces
+                                      std::string("\xc1") }) { // a tag
+    std::string bytes = head;
+    for (int level = 0; level < 2'000'000; ++level) {
+      bytes += opening;
+    }
+    CHECK_FALSE(DecodeMirrorPage(bytes));
+    CHECK_FALSE(DecodeMirrorBatch(bytes));
+  }
+  CHECK_FALSE(DecodeMirrorPage(""));
+  CHECK_FALSE(DecodeMirrorPage(head)); // an element is missing
+  const std::string whole = EncodeMirrorPage({});
+  CHECK(DecodeMirrorPage(whole));
+  CHECK_FALSE(DecodeMirrorPage(whole + '\0'));
+}
+
+TEST_CASE("an unreadable object stays one in a mirror's copy")
+{
+  Object object = MakeObject("a", 3);
+  object.unreadable = "spec: nested too deeply";
+  object.encodedSize = 500'000;
+  ListPage page;
+  page.items = { object, MakeObject("b", 4) };
+  const auto decoded = DecodeMirrorPage(EncodeMirrorPage(page));
+  REQUIRE(decoded);
+  CHECK(decoded->items[0].unreadable == object.unreadable);
+  CHECK(decoded->items[0].encodedSize == 500'000);
+  CHECK(decoded->items[1].unreadable.empty());
+}
+
+TEST_CASE("large objects that change often do not fill memory")
+{
+  // Guards against the log of an entry of a megabyte that another writer
+  // changes all the time.
+  Mirror mirror;
+  mirror.ApplyList({}, { 1, 1 });
+  for (uint64_t revision = 2; revision < 300; ++revision) {
+    Object object = MakeObject("a", revision);
+    object.encodedSize = 1'000'000;
+    mirror.Apply({ object, false }, { 1, revision });
+  }
+  CHECK(mirror.ChangesSince({ 1, 297 })->changes.size() == 2);
+  CHECK_FALSE(mirror.ChangesSince({ 1, 280 })); // lists again
+  CHECK(mirror.List().items.size() == 1);
+}
+
 TEST_CASE("a busy zone's readers share one encoding of a list and of a batch")
 {
   // Sixty readers of a mirror before 2,000 objects: the encoding must not be
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -52,6 +52,7 @@
   {
     if (aAfter.empty()) {
       listedObjects_.clear();
+      listPages_ = 0;
       listAge_ = Duration::zero();
       listSentAt_ = timers_.Now();
     }
@@ -62,13 +63,23 @@
                 });
   }
 
+  /// The next page follows this name; unreadable items may have none.
+  static std::string LastName(const std::vector<Object>& aItems)
+  {
+    const auto last =
+      std::find_if(aItems.rbegin(), aItems.rend(), [](const Object& aObject) {
+        return !aObject.name.empty();
+      });
+    return last == aItems.rend() ? std::string() : last->name;
+  }
+
   void OnPage(std::optional<ListPage> aPage, StoreError aError)
   {
     if (!aPage) {
       OnFailure(aError, true);
       return;
     }
-    if (listedObjects_.empty()) {
+    if (listPages_++ == 0) {
       // The watch starts at the first page's revision, so that it also reports
       // changes made while later pages were read.
       listStartVersion_ = aPage->asOf;
@@ -91,10 +102,14 @@
       return;
     }
     listAge_ = std::max(listAge_, aPage->age);
-    const bool more = aPage->more && !aPage->items.empty();
+    const std::string last = LastName(aPage->items);
     std::ranges::move(aPage->items, std::back_inserter(listedObjects_));
-    if (more) {
-      ListFrom(listedObjects_.back().name);
+    if (aPage->more && !listedObjects_.empty()) {
+      if (last.empty()) {
+        OnFailure(StoreError::NoResponse, true); // no name to go on from
+      } else {
+        ListFrom(last);
+      }
       return;
     }
     OnSuccess(listSentAt_, aPage->fromMirror, aPage->restoreTimeLeft);
@@ -254,6 +269,7 @@
   WatcherObserver observer_;
   std::minstd_rand random_;
   std::vector<Object> listedObjects_;
+  std::size_t listPages_ = 0;
   TimePoint listSentAt_{};
   StoreVersion listStartVersion_;
   StoreVersion knownVersion_;
--- a/src/hibiscusnotch/store/watcher_test.cpp
+++ b/src/hibiscusnotch/store/watcher_test.cpp
@@ -61,6 +61,21 @@
   CHECK(fixture.store.watches.at(0).since.revision == 10);
 }
 
+TEST_CASE("items without a readable name do not end a list of several pages")
+{
+  Fixture fixture;
+  Object nameless;
+  nameless.unreadable = "metadata";
+  fixture.store.AnswerList(0, { MakeObject("a", 1), nameless }, 10, true);
+  REQUIRE(fixture.store.lists.size() == 2);
+  CHECK(fixture.store.lists[1].after == "a");
+  // A page from which it is not known how to go on is a failure: what it does
+  // not show must not count as removed.
+  fixture.store.AnswerList(1, { nameless }, 10, true);
+  CHECK(fixture.listed.empty());
+  CHECK(fixture.disconnected == 1);
+}
+
 TEST_CASE("a watch that times out confirms the state up to its end")
 {
   Fixture fixture;
