--- a/include/hibiscusnotch/store/mirror.hpp
+++ b/include/hibiscusnotch/store/mirror.hpp
@@ -49,7 +49,7 @@
 
   std::map<std::string, Object> objects_;
   std::deque<LogEntry> changeLog_;
-  std::size_t logBytes_ = 0; ///< As encoded by the store.
+  std::size_t logBytes_ = 0;       ///< As encoded by the store.
   uint64_t compactedRevision_ = 0; ///< Changes up to it left the log.
   StoreVersion asOf_;
   bool hasSnapshot_ = false;
--- a/src/hibiscusnotch/entry/cut_off_test.cpp
+++ b/src/hibiscusnotch/entry/cut_off_test.cpp
@@ -278,9 +278,8 @@
     fixture.cutOff.client.End(call, relay::CallOutcome::ConnectionLost);
     CAPTURE(status);
     REQUIRE(fixture.cutOff.client.sent.size() == call + 2);
-    fixture.Reply(call + 1,
-                  status,
-                  { { "id", fixture.OwnId() }, { "seal", "s" } });
+    fixture.Reply(
+      call + 1, status, { { "id", fixture.OwnId() }, { "seal", "s" } });
     CHECK(fixture.Response().status == 200);
     CHECK(fixture.Response().body == "id: 1\ndata: x\n\n");
     CHECK(fixture.Response().aborted);
