Show that a response written once more reaches no other call

Calls open one each; until now only the code said so. The test writes a refusal twice on the first call's connection: the next call comes on a new connection and gets its own answer. Nothing but the test is changed.

--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -236,6 +236,44 @@
   CHECK(fixture.client->Open() == 0);
 }
 
+TEST_CASE("a response that is written once more reaches no other call")
+{
+  // Guards against a refusal of an earlier request that is taken for the answer
+  // to the next one on a kept connection.
+  Fixture fixture;
+  tcp::acceptor acceptor(fixture.context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.non_blocking(true);
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  std::vector<int> statuses;
+  int ended = 0;
+  OutboundCall call;
+  call.to = { "127.0.0.1", acceptor.local_endpoint().port() };
+  call.message = kGet;
+  const auto answer = [&](tcp::socket& aPeer, const std::string& aResponse) {
+    fixture.client->Start(
+      call,
+      { [&](const ResponseHead& aHead) { statuses.push_back(aHead.status); },
+        [](std::string_view) {},
+        [&](CallOutcome, std::string_view) { ++ended; } });
+    REQUIRE(fixture.RunUntil([&] {
+      boost::system::error_code error;
+      if (!aPeer.is_open()) {
+        acceptor.accept(aPeer, error);
+      }
+      return aPeer.is_open();
+    }));
+    boost::asio::write(aPeer, boost::asio::buffer(aResponse));
+    const int before = ended;
+    REQUIRE(fixture.RunUntil([&] { return ended > before; }));
+  };
+  tcp::socket first(fixture.context);
+  answer(first, refusal + refusal);
+  tcp::socket second(fixture.context);
+  answer(second, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  CHECK(statuses == std::vector<int>{ 503, 200 });
+}
+
 TEST_CASE("a refused connection is reported as not sent")
 {
   Fixture fixture;
