Pass over interim responses of upstreams

What callers saw: an upstream that sent 100 Continue or 103 Early Hints before its answer failed each request: a retry, 502 for what may run once, status 100 without a body on the chat interface.

Cause: the response parsers end a 1xx response with its head, and neither client read on for the response behind it.

Evidence: on "interim responses are passed over, whatever the split" fails at each cut after the first head (80 of 106), and "a head cut at any byte" fails in 54 of its forms, all of them with an interim response before the cut head; without one, no cut of the other six heads, ended or reset, passes for a response. On net's client the same (42 forms).

Change: both clients start anew after a 1xx head.

--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
+#include <optional>
 
 namespace hibiscusnotch::net {
 
@@ -156,6 +157,13 @@
   using Alive = std::shared_ptr<bool>;
   using Parser = http::response_parser<http::buffer_body>;
 
+  /// True if another response follows (RFC 9110, section 15.2).
+  static bool IsInterim(const Parser& aParser)
+  {
+    return aParser.get().result_int() / 100 == 1 &&
+           aParser.get().result() != http::status::switching_protocols;
+  }
+
   static void Close(ActiveCall& aActiveCall)
   {
     if (aActiveCall.stream) {
@@ -309,15 +317,19 @@
                                             bool& aReusable)
   {
     beast::flat_buffer buffer(kMaxUnparsedBytes);
-    Parser parser;
-    parser.header_limit(kMaxHeaderBytes);
-    parser.body_limit(boost::none);
+    std::optional<Parser> response;
     aStream.expires_after(aCall.timeout);
-    const auto [error, bytes] =
-      co_await http::async_read_header(aStream, buffer, parser, kAwaitAsTuple);
-    if (!*aAlive || !calls_.contains(aId) || error) {
-      co_return CallOutcome::ConnectionLost;
-    }
+    do {
+      response.emplace();
+      response->header_limit(kMaxHeaderBytes);
+      response->body_limit(boost::none);
+      const auto [error, bytes] = co_await http::async_read_header(
+        aStream, buffer, *response, kAwaitAsTuple);
+      if (!*aAlive || !calls_.contains(aId) || error) {
+        co_return CallOutcome::ConnectionLost;
+      }
+    } while (IsInterim(*response));
+    Parser& parser = *response;
     HttpResponse head;
     head.status = parser.get().result_int();
     for (const auto& field : parser.get()) {
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusnotch/net/http_client.hpp"
 #include "hibiscusnotch/net/http_server.hpp"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -246,6 +247,112 @@
   }
 }
 
+namespace {
+
+/// How a call to a plain socket ended.
+struct PlainCall
+{
+  std::optional<CallOutcome> outcome;
+  HttpResponse response;
+};
+
+/// A client on one event loop with an acceptor that responds by raw bytes.
+struct PlainUpstream
+{
+  PlainUpstream() { acceptor.non_blocking(true); }
+
+  /// Sends the bytes as the response, then closes or resets the connection.
+  PlainCall Respond(std::string_view aBytes, bool aReset)
+  {
+    PlainCall result;
+    HttpCall call;
+    call.to = { kEndpoint.address, acceptor.local_endpoint().port() };
+    call.newConnection = true;
+    client->Send(std::move(call),
+                 [&](CallOutcome aOutcome, const HttpResponse& aResponse) {
+                   result.outcome = aOutcome;
+                   result.response = aResponse;
+                 });
+    tcp::socket peer(context);
+    RunUntil([&] {
+      boost::system::error_code error;
+      acceptor.accept(peer, error);
+      return peer.is_open();
+    });
+    REQUIRE(peer.is_open());
+    // Read first, so that closing does not reset the connection.
+    peer.non_blocking(true);
+    std::string request;
+    RunUntil([&] {
+      std::array<char, 1024> bytes{};
+      boost::system::error_code error;
+      const std::size_t count =
+        peer.read_some(boost::asio::buffer(bytes), error);
+      request.append(bytes.data(), count);
+      return request.find("\r\n\r\n") != std::string::npos;
+    });
+    boost::asio::write(peer, boost::asio::buffer(aBytes));
+    if (aReset) {
+      peer.set_option(boost::asio::socket_base::linger(true, 0));
+    }
+    peer.close();
+    RunUntil([&] { return result.outcome.has_value(); });
+    return result;
+  }
+
+  template<class Condition>
+  void RunUntil(Condition aCondition)
+  {
+    for (int step = 0; step < 2000 && !aCondition(); ++step) {
+      context.run_for(std::chrono::milliseconds(1));
+      context.restart();
+    }
+  }
+
+  boost::asio::io_context context;
+  tcp::acceptor acceptor{ context,
+                          { boost::asio::ip::make_address(kEndpoint.address),
+                            0 } };
+  std::unique_ptr<HttpClient> client = MakeHttpClient(context, nullptr);
+};
+
+} // namespace
+
+TEST_CASE("a head cut at any byte, ended or reset, is a lost connection")
+{
+  // Guards against an upstream that stops in the middle of its head and whose
+  // response is passed on as a whole one.
+  PlainUpstream upstream;
+  for (const std::string head :
+       { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n" }) {
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+      for (const bool reset : { false, true }) {
+        CAPTURE(head);
+        CAPTURE(cut);
+        CAPTURE(reset);
+        CHECK(upstream.Respond(head.substr(0, cut), reset).outcome ==
+              CallOutcome::ConnectionLost);
+      }
+    }
+  }
+}
+
+TEST_CASE("interim responses are passed over")
+{
+  // Guards against 100 Continue or 103 Early Hints taken for the answer.
+  PlainUpstream upstream;
+  const PlainCall call =
+    upstream.Respond("HTTP/1.1 100 Continue\r\n\r\n"
+                     "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                     false);
+  CHECK(call.outcome == CallOutcome::Complete);
+  CHECK(call.response.status == 200);
+  CHECK(call.response.body == "hello");
+}
+
 TEST_CASE("a response that trickles without end is given up in time")
 {
   boost::asio::io_context context;
--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t kMaxResponseHeaderBytes = 64 * 1024;
 // Before a request; RFC 9112, section 2.2, allows at least one.
 constexpr std::size_t kMaxBlankLines = 4;
+constexpr int kSwitchingProtocols = 101;
+// More of them than any upstream has a reason to send.
+constexpr std::size_t kMaxInterimResponses = 16;
 
 bool
 EqualNoCase(std::string_view aLeft, std::string_view aRight)
@@ -269,20 +272,22 @@
 {
 public:
   explicit StrictResponseReader(bool aBodyless)
+    : bodyless_(aBodyless)
   {
-    parser_.eager(true);
-    parser_.skip(aBodyless);
-    parser_.header_limit(kMaxResponseHeaderBytes);
-    parser_.body_limit(boost::none);
+    ResetParser();
   }
 
   ReadState Read(std::string& aBuffer) override
   {
-    while (!aBuffer.empty() && !parser_.is_done() && !malformed_) {
+    while (!aBuffer.empty() && !parser_->is_done() && !malformed_) {
       error_code error;
       const std::size_t taken =
-        parser_.put(boost::asio::buffer(aBuffer), error);
+        parser_->put(boost::asio::buffer(aBuffer), error);
       aBuffer.erase(0, taken);
+      if (!error && parser_->headerDone && parser_->status / 100 == 1) {
+        PassInterimResponse();
+        continue;
+      }
       UpdateHead();
       if (error == http::error::need_more) {
         malformed_ = aBuffer.size() > kMaxResponseHeaderBytes;
@@ -295,41 +300,60 @@
 
   ReadState ReadEnd() override
   {
-    if (!parser_.headerDone) {
+    if (!parser_->headerDone) {
       malformed_ = true;
-    } else if (!parser_.is_done()) {
+    } else if (!parser_->is_done()) {
       error_code error;
-      parser_.put_eof(error);
+      parser_->put_eof(error);
       malformed_ = malformed_ || error;
     }
     return State();
   }
 
-  bool HasHead() const override { return parser_.headerDone; }
+  bool HasHead() const override { return parser_->headerDone; }
   const ResponseHead& Head() const override { return head_; }
-  std::string TakeBody() override { return std::exchange(parser_.body, {}); }
+  std::string TakeBody() override { return std::exchange(parser_->body, {}); }
 
 private:
+  void ResetParser()
+  {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->skip(bodyless_);
+    parser_->header_limit(kMaxResponseHeaderBytes);
+    parser_->body_limit(boost::none);
+  }
+
+  /// Goes on with the response that follows (RFC 9110, section 15.2).
+  void PassInterimResponse()
+  {
+    malformed_ = parser_->status == kSwitchingProtocols ||
+                 ++interimResponses_ > kMaxInterimResponses;
+    ResetParser();
+  }
+
   ReadState State() const
   {
     if (malformed_) {
       return ReadState::Malformed;
     }
-    return parser_.is_done() ? ReadState::Complete : ReadState::NeedMore;
+    return parser_->is_done() ? ReadState::Complete : ReadState::NeedMore;
   }
 
   void UpdateHead()
   {
-    if (parser_.headerDone && head_.status == 0) {
-      head_.status = parser_.status;
-      head_.reason = parser_.reason;
-      head_.headers = parser_.headers;
-      head_.isSelfDelimited = !parser_.need_eof();
+    if (parser_->headerDone && head_.status == 0) {
+      head_.status = parser_->status;
+      head_.reason = parser_->reason;
+      head_.headers = parser_->headers;
+      head_.isSelfDelimited = !parser_->need_eof();
     }
   }
 
-  MessageCollector<false> parser_;
+  bool bodyless_;
+  std::optional<MessageCollector<false>> parser_;
   ResponseHead head_;
+  std::size_t interimResponses_ = 0;
   bool malformed_ = false;
 };
 
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -132,6 +132,46 @@
   }
 }
 
+TEST_CASE("interim responses are passed over, whatever the split")
+{
+  // Guards against 100 Continue or 103 Early Hints taken for the answer.
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  const std::string text =
+    interim + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    CAPTURE(cut);
+    const auto reader = MakeResponseReader(false);
+    std::string buffer = text.substr(0, cut);
+    const ReadState first = reader->Read(buffer);
+    CHECK((first == ReadState::Complete) == (cut == text.size()));
+    buffer += text.substr(cut);
+    CHECK(reader->Read(buffer) == ReadState::Complete);
+    CHECK(reader->Head().status == 200);
+    CHECK(reader->TakeBody() == "hello");
+  }
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    CAPTURE(cut);
+    const auto reader = MakeResponseReader(false);
+    std::string buffer = text.substr(0, cut);
+    reader->Read(buffer);
+    CHECK(reader->ReadEnd() == ReadState::Malformed);
+  }
+}
+
+TEST_CASE("a switch of protocols and endless interim responses are malformed")
+{
+  std::string switching = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+  CHECK(MakeResponseReader(false)->Read(switching) == ReadState::Malformed);
+  const auto reader = MakeResponseReader(false);
+  ReadState state = ReadState::NeedMore;
+  for (int count = 0; count < 1000 && state == ReadState::NeedMore; ++count) {
+    std::string buffer = "HTTP/1.1 100 Continue\r\n\r\n";
+    state = reader->Read(buffer);
+  }
+  CHECK(state == ReadState::Malformed);
+}
+
 TEST_CASE("a response without a length ends when the connection closes")
 {
   const auto reader = MakeResponseReader(false);
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -274,6 +274,88 @@
   CHECK(statuses == std::vector<int>{ 503, 200 });
 }
 
+namespace {
+
+/// One response head, and whether its request was HEAD.
+struct HeadForm
+{
+  std::string head;
+  bool bodyless = false;
+};
+
+/// Accepts the next connection of the client under test and reads its request's
+/// first bytes.
+tcp::socket
+Accept(Fixture& aFixture, tcp::acceptor& aAcceptor)
+{
+  tcp::socket peer(aFixture.context);
+  REQUIRE(aFixture.RunUntil([&] {
+    boost::system::error_code error;
+    aAcceptor.accept(peer, error);
+    return peer.is_open();
+  }));
+  peer.non_blocking(true);
+  std::size_t count = 0;
+  REQUIRE(aFixture.RunUntil([&] {
+    std::array<char, 1024> request{};
+    boost::system::error_code error;
+    count += peer.read_some(boost::asio::buffer(request), error);
+    return count > 0;
+  }));
+  peer.non_blocking(false);
+  return peer;
+}
+
+} // namespace
+
+TEST_CASE("a head cut at any byte, ended or reset, is a lost connection")
+{
+  // Guards against an upstream that stops in the middle of its head and whose
+  // response is passed on as a whole one with an empty or short body.
+  Fixture fixture;
+  tcp::acceptor acceptor(fixture.context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.non_blocking(true);
+  const std::vector<HeadForm> forms{
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" },
+    { "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true },
+    { "HTTP/1.1 204 No Content\r\n\r\n" },
+    { "HTTP/1.1 304 Not Modified\r\n\r\n" },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n" },
+  };
+  for (const HeadForm& form : forms) {
+    for (std::size_t cut = 0; cut < form.head.size(); ++cut) {
+      for (const bool reset : { false, true }) {
+        CAPTURE(form.head);
+        CAPTURE(cut);
+        CAPTURE(reset);
+        bool hasHead = false;
+        std::optional<CallOutcome> end;
+        OutboundCall call;
+        call.to = { "127.0.0.1", acceptor.local_endpoint().port() };
+        call.message = kGet;
+        call.bodyless = form.bodyless;
+        fixture.client->Start(
+          call,
+          { [&](const ResponseHead&) { hasHead = true; },
+            [](std::string_view) {},
+            [&](CallOutcome aEnd, std::string_view) { end = aEnd; } });
+        tcp::socket peer = Accept(fixture, acceptor);
+        boost::asio::write(peer, boost::asio::buffer(form.head.substr(0, cut)));
+        if (reset) {
+          peer.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        peer.close();
+        REQUIRE(fixture.RunUntil([&] { return end.has_value(); }));
+        CHECK(end == CallOutcome::ConnectionLost);
+        CHECK_FALSE(hasHead);
+      }
+    }
+  }
+}
+
 TEST_CASE("a refused connection is reported as not sent")
 {
   Fixture fixture;
