Answer each open request before a stopping instance ends

What callers saw: requests that reached a stopping instance were passed on and cut off without an answer at the end of the grace period, among them requests that may run only once.

Cause: requests were accepted for 2.8 s after SIGTERM whatever the grace period is, and the process ended 0.7 s before its end without a word to those that were still open.

Change: requests are refused from half of the grace period on at the latest; at its end the router gives each open request its final response and only aborts what has begun.

--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -87,6 +87,9 @@
   virtual Duration OldestQueuedAge() const = 0;
   /// @brief Refuses all further requests, as the process is about to end.
   virtual void RefuseNewRequests() = 0;
+  /// @brief Ends all open requests before the process does: each gets its final
+  /// response, or is aborted if its response has begun.
+  virtual void EndOpenRequests() = 0;
   /// @brief True while no upstream accepts connections of this instance.
   virtual bool IsCutOff() const = 0;
   /// @brief Times that a request was sent through another instance.
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -19,6 +19,9 @@
 // failed checks. Later requests could be cut off by the end of the process.
 constexpr Duration kBalancerRemovalDelay{ 2'800'000 };
 constexpr Duration kDrainPollInterval{ 100'000 };
+// New requests are refused after this part of the grace period at the latest,
+// so that those which were accepted have time to end.
+constexpr int kAcceptGraceDivisor = 2;
 // Part of the grace period that is left for the exit itself.
 constexpr Duration kExitMargin{ 700'000 };
 // Longer than the interval between confirmations. The load balancer takes two
@@ -294,7 +297,9 @@
   void WaitUntilDrained(const std::function<void()>& aDone)
   {
     const Duration spent = timers_->Now() - *drainStarted_;
-    if (spent >= kBalancerRemovalDelay) {
+    const Duration acceptTime = std::min(
+      kBalancerRemovalDelay, options_.shutdownGrace / kAcceptGraceDivisor);
+    if (spent >= acceptTime) {
       // A refusal makes late callers retry elsewhere at once; a closed port
       // would count as a failure.
       router_->RefuseNewRequests();
@@ -305,7 +310,9 @@
       log_.Write(EventNumber::DrainFinished,
                  std::string("complete=") + (idle ? "yes" : "no") +
                    " open=" + std::to_string(router_->OpenRequestCount()));
-      aDone();
+      router_->EndOpenRequests();
+      // The responses leave within the next turns of the event loop.
+      timers_->After(kDrainPollInterval, aDone);
       return;
     }
     timers_->After(kDrainPollInterval,
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -163,6 +163,14 @@
 
   void RefuseNewRequests() override { shuttingDown_ = true; }
 
+  void EndOpenRequests() override
+  {
+    shuttingDown_ = true;
+    while (!exchanges_.empty()) {
+      EndAtShutdown(exchanges_.begin()->second);
+    }
+  }
+
   bool IsCutOff() const override { return guard_.IsCutOff(); }
 
   uint64_t ForwardCount() const override { return forwardCount_; }
@@ -866,6 +874,14 @@
            sent ? Duration::zero() : kRetryAfterBusy);
   }
 
+  void EndAtShutdown(Exchange& aExchange)
+  {
+    // An attempt without a response may have been executed.
+    aExchange.mayHaveExecuted =
+      aExchange.mayHaveExecuted || aExchange.attempt.has_value();
+    GiveUp(aExchange, Reason::ShuttingDown, kRetryAfterElsewhere);
+  }
+
   void StartResponse(Exchange& aExchange)
   {
     if (!std::exchange(aExchange.responseStarted, true)) {
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -829,6 +829,35 @@
   CHECK(fixture.client.sent.empty());
 }
 
+TEST_CASE("all open requests end with their final response before the process")
+{
+  // Guards against requests that a stopping process cuts off without an answer.
+  Fixture fixture;
+  const auto sent = fixture.Request("unsafe");
+  const auto started = fixture.Request("stream");
+  fixture.client.Head(1, fixture.Head(200));
+  fixture.client.Body(1, "id: 1\ndata: x\n\n");
+  const auto failed = fixture.Request("safe");
+  fixture.Reply(2, 500);
+  REQUIRE(fixture.client.IsOpen(3));
+  for (const char* name : { "u1", "u2", "u3", "u4" }) {
+    fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+  }
+  const auto waiting = fixture.Request("unsafe");
+  fixture.router->EndOpenRequests();
+  CHECK(fixture.router->OpenRequestCount() == 0);
+  CHECK(fixture.Response(sent).status == 502); // it may have run
+  CHECK(fixture.Response(sent).finished);
+  CHECK(fixture.Response(started).aborted);
+  CHECK(fixture.Response(failed).status == 500); // the upstream's own
+  CHECK(fixture.Response(failed).finished);
+  CHECK(fixture.Response(waiting).status == 503);
+  CHECK(fixture.Response(waiting).finished);
+  CHECK_FALSE(fixture.client.IsOpen(0));
+  CHECK_FALSE(fixture.client.IsOpen(1));
+  CHECK_FALSE(fixture.client.IsOpen(3));
+}
+
 TEST_CASE("a request that crashes upstreams is quarantined")
 {
   // Guards against a poison request that is sent repeatedly and crashes each
