Do not read a reset that a write has noticed as the end of a response

What callers saw: part of a response without a length as the whole, if its connection was reset while the request was still being sent.

Cause: Linux reports a reset once. The write took the error and was ignored, as an upstream may reject a request early; the next read then returns zero bytes, which completes a response without a length.

Change: a failed write is remembered; a response that only the connection ends is lost then.

--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -356,6 +356,54 @@
   }
 }
 
+namespace {
+
+/// What a call reported.
+struct ReportedCall
+{
+  std::string body;
+  std::optional<CallOutcome> end;
+  std::string why;
+
+  CallObserver Observer()
+  {
+    return { [](const ResponseHead&) {},
+             [this](std::string_view aBytes) { body.append(aBytes); },
+             [this](CallOutcome aEnd, std::string_view aWhy) {
+               end = aEnd;
+               why = aWhy;
+             } };
+  }
+};
+
+const std::string kUnframedHead = "HTTP/1.1 200 OK\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a reset that a write notices first is not the end of a response")
+{
+  // Guards against a reset that the kernel reports once, to the write, after
+  // which a read returns the end of the stream.
+  Fixture fixture;
+  tcp::acceptor acceptor(fixture.context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.non_blocking(true);
+  OutboundCall call;
+  call.to = { "127.0.0.1", acceptor.local_endpoint().port() };
+  constexpr std::size_t kMoreThanBuffers = 64UL * 1024 * 1024;
+  call.message =
+    "POST / HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(kMoreThanBuffers, 'x');
+  ReportedCall report;
+  fixture.client->Start(call, report.Observer());
+  tcp::socket peer = Accept(fixture, acceptor);
+  boost::asio::write(peer, boost::asio::buffer(kUnframedHead + "part"));
+  REQUIRE(fixture.RunUntil([&] { return report.body == "part"; }));
+  peer.set_option(boost::asio::socket_base::linger(true, 0));
+  peer.close();
+  REQUIRE(fixture.RunUntil([&] { return report.end.has_value(); }));
+  CHECK(report.end == CallOutcome::ConnectionLost);
+}
+
 TEST_CASE("a refused connection is reported as not sent")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -35,6 +35,7 @@
   Duration maxSilence{ 0 };
   core::Endpoint peer;
   bool connected = false;
+  bool writeFailed = false;
   bool headReported = false;
   bool paused = false;
   bool waitingRead = false;
@@ -191,6 +192,7 @@
     if (error) {
       // Reading goes on: an upstream may reject a request, and close, before
       // it has read all of it.
+      pending->writeFailed = true;
       return;
     }
     if (!allWritten) {
@@ -235,7 +237,9 @@
     }
     StartSilenceTimer(aCall, aPending, aPending.probeAfterSilence);
     ReadState state = aPending.reader->Read(aPending.in);
-    if (error == boost::asio::error::eof && state == ReadState::NeedMore) {
+    // After a failed write the error that it took reads as an end.
+    if (error == boost::asio::error::eof && state == ReadState::NeedMore &&
+        !aPending.writeFailed) {
       state = aPending.reader->ReadEnd();
     } else if (error && state == ReadState::NeedMore) {
       state = ReadState::Malformed;
