Tell a stream that its upstream's killed process cut from a whole one

Cause: the kernel closes a killed process's connections as the process itself does at the end of a response without a length. Only a stream that broke off within an event, or before the first, was told from a whole one.

Evidence: "a response without a length ends with its process as a lost one" kills an upstream process between two events.

Change: 100 ms after such an end both clients open a connection to the upstream; only if it is accepted is the response complete. The time is for a killed process to close its listening socket, also beside others.

--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -56,7 +56,9 @@
 /// @brief Sends HTTP requests and reports their responses.
 ///
 /// Connections are not reused, so that no request meets leftovers of an earlier
-/// response or a connection that the peer is about to close.
+/// response or a connection that the peer is about to close. A response that
+/// ends with its connection counts as complete only if the peer still accepts
+/// connections: a process that is killed ends its responses in the same way.
 class OutboundClient
 {
 public:
--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -28,6 +28,9 @@
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 // What is not parsed yet; also limits a chunk's size line and trailers.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
+// A process that is killed closes its connections and its listening sockets
+// within this time, also on a busy processor.
+constexpr std::chrono::milliseconds kExitTime{ 100 };
 // Of a response that is delivered as a whole.
 constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
 constexpr unsigned kHttpVersion = 11;
@@ -366,9 +369,25 @@
     }
     aStream.expires_never();
     aReusable = parser.get().keep_alive();
+    if (parser.need_eof() && !co_await StillAccepts(aAlive, aCall)) {
+      co_return CallOutcome::ConnectionLost;
+    }
     co_return CallOutcome::Complete;
   }
 
+  /// Tells a response that its upstream ended by a close from one that broke
+  /// off with the upstream's process: the kernel closes both alike, but only a
+  /// process that goes on accepts connections.
+  asio::awaitable<bool> StillAccepts(Alive aAlive, const HttpCall& aCall)
+  {
+    asio::steady_timer exit(context_, kExitTime);
+    co_await exit.async_wait(kAwaitAsTuple);
+    if (!*aAlive) {
+      co_return false;
+    }
+    co_return co_await Connect(aCall) != nullptr;
+  }
+
   asio::awaitable<bool> WaitWhilePaused(Alive aAlive,
                                         HttpCallId aId,
                                         std::shared_ptr<ActiveCall> aActiveCall)
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -262,7 +262,9 @@
   PlainUpstream() { acceptor.non_blocking(true); }
 
   /// Sends the bytes as the response, then closes or resets the connection.
-  PlainCall Respond(std::string_view aBytes, bool aReset)
+  /// @param aExit Closes the listening socket before, as the end of a process
+  /// does.
+  PlainCall Respond(std::string_view aBytes, bool aReset, bool aExit = false)
   {
     PlainCall result;
     HttpCall call;
@@ -295,6 +297,9 @@
     if (aReset) {
       peer.set_option(boost::asio::socket_base::linger(true, 0));
     }
+    if (aExit) {
+      acceptor.close();
+    }
     peer.close();
     RunUntil([&] { return result.outcome.has_value(); });
     return result;
@@ -339,6 +344,18 @@
   }
 }
 
+TEST_CASE("a response without a length ends with its process as a lost one")
+{
+  // Guards against the start of an answer that is taken for the whole: the
+  // kernel closes the connections of a killed process as a sound one does.
+  const std::string response = "HTTP/1.1 200 OK\r\n\r\npart";
+  for (const bool exits : { false, true }) {
+    PlainUpstream upstream;
+    CHECK(upstream.Respond(response, false, exits).outcome ==
+          (exits ? CallOutcome::ConnectionLost : CallOutcome::Complete));
+  }
+}
+
 TEST_CASE("interim responses are passed over")
 {
   // Guards against 100 Continue or 103 Early Hints taken for the answer.
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -5,8 +5,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <optional>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 using namespace hibiscusnotch::relay;
 using boost::asio::ip::tcp;
@@ -358,6 +362,71 @@
 
 namespace {
 
+/// An upstream in a process of its own, which sends a response without a length
+/// and closes no connection until it is told to or ends.
+class UpstreamProcess
+{
+public:
+  explicit UpstreamProcess(const std::string& aResponse)
+  {
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context,
+                           { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    port = acceptor.local_endpoint().port();
+    std::array<int, 2> commands{};
+    REQUIRE(pipe(commands.data()) == 0);
+    command_ = commands[1];
+    pid_ = fork();
+    if (pid_ == 0) {
+      ::close(commands[1]);
+      Serve(acceptor.native_handle(), commands[0], aResponse);
+    }
+    ::close(commands[0]);
+  }
+
+  ~UpstreamProcess()
+  {
+    Kill();
+    ::close(command_);
+  }
+
+  UpstreamProcess(const UpstreamProcess&) = delete;
+  UpstreamProcess& operator=(const UpstreamProcess&) = delete;
+
+  /// Closes the connection and goes on accepting others.
+  void EndResponse() const { REQUIRE(write(command_, "e", 1) == 1); }
+
+  void Kill()
+  {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+      pid_ = 0;
+    }
+  }
+
+  uint16_t port = 0;
+
+private:
+  [[noreturn]] static void Serve(int aAcceptor,
+                                 int aCommands,
+                                 const std::string& aResponse)
+  {
+    const int connection = accept(aAcceptor, nullptr, nullptr);
+    std::array<char, 1024> request{};
+    if (read(connection, request.data(), request.size()) > 0 &&
+        write(connection, aResponse.data(), aResponse.size()) > 0 &&
+        read(aCommands, request.data(), 1) == 1) {
+      ::close(connection);
+      pause();
+    }
+    _exit(1);
+  }
+
+  pid_t pid_ = 0;
+  int command_ = 0;
+};
+
 /// What a call reported.
 struct ReportedCall
 {
@@ -380,6 +449,63 @@
 
 } // namespace
 
+TEST_CASE("a response without a length ends with its process as a lost one")
+{
+  // Guards against the start of a stream that is taken for the whole: the
+  // kernel closes the connections of a killed process as a sound one does.
+  Fixture fixture;
+  UpstreamProcess upstream(kUnframedHead + "id: 1\n\n");
+  OutboundCall call;
+  call.to = { "127.0.0.1", upstream.port };
+  call.message = kGet;
+  ReportedCall report;
+  fixture.client->Start(call, report.Observer());
+  REQUIRE(fixture.RunUntil([&] { return report.body == "id: 1\n\n"; }));
+  SUBCASE("killed")
+  {
+    upstream.Kill();
+    REQUIRE(fixture.RunUntil([&] { return report.end.has_value(); }));
+    CHECK(report.end == CallOutcome::ConnectionLost);
+    CHECK(report.why == "ended without a length, and connection refused");
+  }
+  SUBCASE("ended by the upstream, which goes on")
+  {
+    upstream.EndResponse();
+    REQUIRE(fixture.RunUntil([&] { return report.end.has_value(); }));
+    CHECK(report.end == CallOutcome::Complete);
+  }
+  CHECK(fixture.client->Open() == 0);
+}
+
+TEST_CASE("a call may be cancelled or paused while its end is confirmed")
+{
+  Fixture fixture;
+  UpstreamProcess upstream(kUnframedHead + "part");
+  OutboundCall call;
+  call.to = { "127.0.0.1", upstream.port };
+  call.message = kGet;
+  ReportedCall report;
+  const CallId id = fixture.client->Start(call, report.Observer());
+  REQUIRE(fixture.RunUntil([&] { return report.body == "part"; }));
+  upstream.EndResponse();
+  fixture.context.run_for(std::chrono::milliseconds(10));
+  fixture.context.restart();
+  REQUIRE_FALSE(report.end.has_value());
+  SUBCASE("paused and resumed")
+  {
+    fixture.client->SetPaused(id, true);
+    fixture.client->SetPaused(id, false);
+    REQUIRE(fixture.RunUntil([&] { return report.end.has_value(); }));
+    CHECK(report.end == CallOutcome::Complete);
+  }
+  SUBCASE("cancelled")
+  {
+    fixture.client->Cancel(id);
+    fixture.context.run_for(std::chrono::milliseconds(300));
+    CHECK_FALSE(report.end.has_value());
+  }
+}
+
 TEST_CASE("a reset that a write notices first is not the end of a response")
 {
   // Guards against a reset that the kernel reports once, to the write, after
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -13,6 +13,10 @@
 // A multiple of the round trip time within a region.
 constexpr Duration kProbeTimeout{ 200'000 };
 
+// A process that is killed closes its connections and its listening sockets
+// within this time, also on a busy processor.
+constexpr Duration kExitTime{ 100'000 };
+
 // Far more than there are upstreams.
 constexpr std::size_t kMaxTrackedPeers = 4096;
 
@@ -237,10 +241,12 @@
     }
     StartSilenceTimer(aCall, aPending, aPending.probeAfterSilence);
     ReadState state = aPending.reader->Read(aPending.in);
+    bool endedByClose = false;
     // After a failed write the error that it took reads as an end.
     if (error == boost::asio::error::eof && state == ReadState::NeedMore &&
         !aPending.writeFailed) {
       state = aPending.reader->ReadEnd();
+      endedByClose = state == ReadState::Complete;
     } else if (error && state == ReadState::NeedMore) {
       state = ReadState::Malformed;
     }
@@ -248,7 +254,9 @@
     if (!Report(aCall, aPending)) {
       return;
     }
-    if (state == ReadState::Complete) {
+    if (endedByClose) {
+      ConfirmEnd(aCall, *Find(aCall));
+    } else if (state == ReadState::Complete) {
       End(aCall, CallOutcome::Complete, "");
     } else if (state == ReadState::Malformed) {
       End(aCall, CallOutcome::ConnectionLost, why);
@@ -257,6 +265,47 @@
     }
   }
 
+  /// Tells a response that its upstream ended by a close from one that broke
+  /// off with the upstream's process: the kernel closes both alike, but only a
+  /// process that goes on accepts connections.
+  void ConfirmEnd(CallId aCall, PendingCall& aPending)
+  {
+    boost::system::error_code ignored;
+    aPending.socket.close(ignored);
+    aPending.connected = false; // there is nothing to read any more
+    timers_.Cancel(aPending.silenceTimer);
+    aPending.silenceTimer = timers_.After(kExitTime, [this, aCall] {
+      if (PendingCall* pending = Find(aCall)) {
+        pending->silenceTimer = 0;
+        ProbeEndedPeer(aCall, *pending);
+      }
+    });
+  }
+
+  void ProbeEndedPeer(CallId aCall, const PendingCall& aPending)
+  {
+    Probe(
+      aPending.peer, kProbeTimeout, [this, aCall](Reachability aReachability) {
+        PendingCall* pending = Find(aCall);
+        if (!pending) {
+          return;
+        }
+        if (aReachability == Reachability::Accepts) {
+          End(aCall, CallOutcome::Complete, "ended without a length");
+        } else if (aReachability == Reachability::Refuses) {
+          End(aCall,
+              CallOutcome::ConnectionLost,
+              "ended without a length, and connection refused");
+        } else if (ActiveWithin(pending->peer, pending->maxSilence)) {
+          ProbeEndedPeer(aCall, *pending);
+        } else {
+          End(aCall,
+              CallOutcome::ConnectionLost,
+              "ended without a length, and connect timed out");
+        }
+      });
+  }
+
   /// Restarts the silence timer; the delay doubles with each probe.
   void StartSilenceTimer(CallId aCall, PendingCall& aPending, Duration aWait)
   {
