Do not join the events of an upstream that starts a stream anew

Cause: the events of an attempt were forwarded whatever came before them.

Evidence: on "a resumed stream that starts anew is not joined to the first" and "a stream that its caller resumes starts above the caller's event" fail; the repeated events are in the caller's body.

Change: the event splitter holds back an event whose number does not rise, and what follows it; the router ends such an attempt and retries it within the route's attempts. Other ids than numbers are not compared.

--- a/include/hibiscusnotch/relay/event_splitter.hpp
+++ b/include/hibiscusnotch/relay/event_splitter.hpp
@@ -8,6 +8,9 @@
 namespace hibiscusnotch::relay {
 
 /// @brief Passes complete events on and buffers an incomplete one.
+///
+/// Ids that are numbers rise within a stream, also over several sources. An
+/// event whose id does not is held back with all that follow.
 class EventSplitter
 {
 public:
@@ -17,6 +20,11 @@
   /// @brief Appends bytes; returns the events that are now complete, unchanged.
   std::string Feed(std::string_view aBytes);
 
+  /// @brief Goes on after an event that the receiver already has.
+  void ResumeAfter(std::string_view aId) { lastId_ = aId; }
+
+  /// @brief True if an event was held back; only another source goes on.
+  bool IsOutOfOrder() const { return outOfOrder_; }
   /// @brief True if the incomplete event is longer than any event may be.
   bool IsEventTooLong() const { return partial_.size() > kMaxEventBytes; }
 
@@ -24,23 +32,25 @@
   const std::string& LastId() const { return lastId_; }
   /// @brief True while an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
-  /// @brief Drops the incomplete event, before another source resumes the
-  /// stream.
+  /// @brief Drops what is held back, before another source resumes the stream.
   void DropPartialEvent()
   {
     partial_.clear();
     searched_ = 0;
+    outOfOrder_ = false;
   }
   /// @brief Number of complete events so far.
   std::size_t EventCount() const { return events_; }
 
 private:
-  void ParseEvent(std::string_view aEvent);
+  /// Returns false if the event must not follow those before it.
+  bool AcceptEvent(std::string_view aEvent);
 
   std::string partial_;
   std::size_t searched_ = 0; ///< Bytes of it without the end of an event.
   std::string lastId_;
   std::size_t events_ = 0;
+  bool outOfOrder_ = false;
 };
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -197,6 +197,10 @@
     aExchange.waitDeadline =
       timers_.Now() + std::min(latencyTarget / kWaitDivisor, kMaxWait);
     aExchange.modelIndex = models_.FirstModel(aExchange);
+    if (aExchange.route.executionSemantics == ExecutionSemantics::Stream &&
+        aExchange.route.resumable) {
+      aExchange.events.ResumeAfter(aExchange.metadata.resumeAfter);
+    }
     aExchange.deadlineTimer =
       timers_.At(aExchange.deadline, [this, key] { OnDeadline(key); });
     Dispatch(aExchange);
@@ -590,11 +594,14 @@
       fleet_.upstreams.RecordReachable(attempt.upstream, attempt.sentAt);
       const std::string events = exchange.events.Feed(aBytes);
       const bool tooLong = exchange.events.IsEventTooLong();
+      const bool outOfOrder = exchange.events.IsOutOfOrder();
       if (!events.empty()) {
         ForwardEvents(exchange, events);
       }
       if (tooLong) {
         BreakOff(aKey, "event too long");
+      } else if (outOfOrder) {
+        BreakOff(aKey, "event id did not rise");
       }
       return;
     }
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -109,7 +109,8 @@
   relay::ExchangeId Request(const std::string& aRoute,
                             const std::string& aKey = "good",
                             const std::string& aTimeLeft = "3000",
-                            const std::string& aParts = "")
+                            const std::string& aParts = "",
+                            const std::string& aLastEventId = "")
   {
     net::HttpRequest request;
     request.method = "POST";
@@ -120,6 +121,7 @@
       { "key", aKey },
       { "left", aTimeLeft },
       { "parts", aParts },
+      { "after", aLastEventId },
     };
     request.body = "body" + std::to_string(last);
     router->OnRequest(RequestOrigin::Caller, last, request);
@@ -386,6 +388,46 @@
   }
 }
 
+TEST_CASE("a resumed stream that starts anew is not joined to the first")
+{
+  // Guards against events that come twice, or of two runs, in one stream.
+  Fixture fixture;
+  const auto id = fixture.Request("stream");
+  const std::string start = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  fixture.client.Head(0, fixture.Head(200));
+  fixture.client.Body(0, start);
+  fixture.client.End(0, CallOutcome::ConnectionLost);
+  REQUIRE(fixture.client.sent.size() == 2);
+  fixture.client.Head(1, fixture.Head(200));
+  fixture.client.Body(1, start);
+  CHECK_FALSE(fixture.client.IsOpen(1));
+  CHECK(fixture.Response(id).body == start);
+  // A third upstream goes on after the event that the caller has.
+  REQUIRE(fixture.client.sent.size() == 3);
+  CHECK(Contains(fixture.Message(2), " after=2 "));
+  fixture.client.Head(2, fixture.Head(200));
+  fixture.client.Body(2, "id: 3\ndata: c\n\n");
+  fixture.client.End(2, CallOutcome::Complete);
+  CHECK(fixture.Response(id).finished);
+  CHECK(fixture.Response(id).body == start + "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("a stream that its caller resumes starts above the caller's event")
+{
+  // Guards against an upstream that ignores which events the caller has.
+  Fixture fixture;
+  const auto id = fixture.Request("stream", "good", "3000", "", "2");
+  fixture.client.Head(0, fixture.Head(200));
+  fixture.client.Body(0, "id: 1\ndata: a\n\n");
+  CHECK_FALSE(fixture.client.IsOpen(0));
+  REQUIRE(fixture.client.sent.size() == 2);
+  fixture.client.Head(1, fixture.Head(200));
+  fixture.client.Body(1, "id: 3\ndata: c\n\n");
+  fixture.client.End(1, CallOutcome::Complete);
+  CHECK(fixture.Response(id).finished);
+  CHECK(fixture.Response(id).body == "id: 3\ndata: c\n\n");
+}
+
 TEST_CASE("a stream that ends within an event is not complete")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/relay/event_splitter.cpp
+++ b/src/hibiscusnotch/relay/event_splitter.cpp
@@ -1,6 +1,10 @@
 #include "hibiscusnotch/relay/event_splitter.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <system_error>
 
 namespace hibiscusnotch::relay {
 
@@ -29,11 +33,25 @@
   return std::string_view::npos;
 }
 
+/// Nothing unless the whole id is a number.
+std::optional<uint64_t>
+ParseNumber(std::string_view aId)
+{
+  uint64_t number = 0;
+  const char* const end = aId.data() + aId.size();
+  const auto [parsed, error] = std::from_chars(aId.data(), end, number);
+  return error == std::errc() && parsed == end ? std::optional(number)
+                                               : std::nullopt;
+}
+
 } // namespace
 
 std::string
 EventSplitter::Feed(std::string_view aBytes)
 {
+  if (outOfOrder_) {
+    return {};
+  }
   partial_.append(aBytes);
   std::size_t complete = 0;
   while (true) {
@@ -43,7 +61,10 @@
       searched_ = rest.size() - std::min(rest.size(), kMaxSplitEnd);
       break;
     }
-    ParseEvent(rest.substr(0, end));
+    if (!AcceptEvent(rest.substr(0, end))) {
+      outOfOrder_ = true;
+      break;
+    }
     complete += end;
     searched_ = 0;
   }
@@ -52,10 +73,10 @@
   return events;
 }
 
-void
-EventSplitter::ParseEvent(std::string_view aEvent)
+bool
+EventSplitter::AcceptEvent(std::string_view aEvent)
 {
-  ++events_;
+  std::optional<std::string_view> id;
   std::size_t start = 0;
   while (start < aEvent.size()) {
     const std::size_t end = aEvent.find('\n', start);
@@ -68,10 +89,20 @@
       while (!line.empty() && line.back() == '\r') {
         line.remove_suffix(1);
       }
-      lastId_ = std::string(line);
+      id = line;
     }
     start = end == std::string_view::npos ? aEvent.size() : end + 1;
   }
+  if (id) {
+    const auto number = ParseNumber(*id);
+    const auto last = ParseNumber(lastId_);
+    if (number && last && *number <= *last) {
+      return false;
+    }
+    lastId_ = std::string(*id);
+  }
+  ++events_;
+  return true;
 }
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/relay/event_splitter_test.cpp
+++ b/src/hibiscusnotch/relay/event_splitter_test.cpp
@@ -56,3 +56,49 @@
   }
   CHECK(fed == EventSplitter::kMaxEventBytes + 1);
 }
+
+TEST_CASE("events stop before one whose id does not rise")
+{
+  // Guards against a source that repeats events, or starts anew, in the middle
+  // of a stream.
+  for (const char* next : { "2", "1", "0", "02" }) {
+    CAPTURE(next);
+    const std::string start = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    const std::string repeated =
+      "id: " + std::string(next) + "\ndata: c\n\nid: 7\ndata: d\n\n";
+    for (std::size_t cut = 0; cut <= repeated.size(); ++cut) {
+      EventSplitter splitter;
+      std::string out = splitter.Feed(start + repeated.substr(0, cut));
+      out += splitter.Feed(repeated.substr(cut));
+      CHECK(out == start);
+      CHECK(splitter.IsOutOfOrder());
+      CHECK(splitter.LastId() == "2");
+      CHECK(splitter.EventCount() == 2);
+      splitter.DropPartialEvent();
+      CHECK_FALSE(splitter.IsOutOfOrder());
+      CHECK(splitter.Feed("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+    }
+  }
+}
+
+TEST_CASE("only numbers are compared, and events without an id pass")
+{
+  const std::string stream =
+    "id: 9\ndata: a\n\ndata: b\n\nid: 10\ndata: c\n\n"
+    "id: 18446744073709551615\ndata: d\n\nid: x2\ndata: e\n\n"
+    "id: x1\ndata: f\n\nid: 99999999999999999999\ndata: g\n\n"
+    "id: 3\ndata: h\n\n";
+  EventSplitter splitter;
+  CHECK(splitter.Feed(stream) == stream);
+  CHECK_FALSE(splitter.IsOutOfOrder());
+}
+
+TEST_CASE("a stream that goes on after an id starts above it")
+{
+  EventSplitter splitter;
+  splitter.ResumeAfter("12");
+  CHECK(splitter.LastId() == "12");
+  CHECK(splitter.EventCount() == 0);
+  CHECK(splitter.Feed("id: 1\ndata: a\n\n").empty());
+  CHECK(splitter.IsOutOfOrder());
+}
