Wait for a port that another process still holds

What callers saw: an instance that is started again while one of its ports is held, by its former process or a neighbour, ends by itself (FAULT).

Cause: each address was bound once.

Evidence: "a port that is still held delays the start" fails on the code before for the callers' port, the readiness port and the peers' UDP port; the process ends within 300 ms.

Change: listeners and the exchange with peers try an address that is in use again every 20 ms for up to 5 s; the error names the address.

--- /dev/null
+++ b/include/hibiscusnotch/relay/bind.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// @brief Binds sockets to addresses that another process may still hold.
+#pragma once
+
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace hibiscusnotch::relay {
+
+/// @brief Binds the open socket; blocks while the address is in use, as a
+/// former process may take a moment to end, and for five seconds at most.
+///
+/// Throws boost::system::system_error, which names the address.
+template<class Socket>
+void
+BindWhenFree(Socket& aSocket,
+             const typename Socket::protocol_type::endpoint& aEndpoint)
+{
+  constexpr std::chrono::seconds kMaxWait{ 5 };
+  constexpr std::chrono::milliseconds kRetryInterval{ 20 };
+  const auto end = std::chrono::steady_clock::now() + kMaxWait;
+  boost::system::error_code error;
+  while (aSocket.bind(aEndpoint, error) &&
+         error == boost::asio::error::address_in_use &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kRetryInterval);
+  }
+  if (error) {
+    throw boost::system::system_error(error,
+                                      "cannot bind to " +
+                                        aEndpoint.address().to_string() + ':' +
+                                        std::to_string(aEndpoint.port()));
+  }
+}
+
+} // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/entry/peer_exchange.cpp
+++ b/src/hibiscusnotch/entry/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusnotch/entry/peer_exchange.hpp"
 
 #include "hibiscusnotch/entry/fleet_report.hpp"
+#include "hibiscusnotch/relay/bind.hpp"
 
 #include <algorithm>
 #include <array>
@@ -33,11 +34,12 @@
     , options_(std::move(aOptions))
     , fleet_(aFleet)
     , log_(aLog)
-    , socket_(
-        aContext,
-        udp::endpoint(boost::asio::ip::make_address(options_.endpoint.address),
-                      options_.endpoint.port))
+    , socket_(aContext, udp::v4())
   {
+    relay::BindWhenFree(
+      socket_,
+      udp::endpoint(boost::asio::ip::make_address(options_.endpoint.address),
+                    options_.endpoint.port));
     socket_.non_blocking(true);
     WaitForDatagram();
     Tick();
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -1,5 +1,6 @@
 #include "hibiscusnotch/relay/listener.hpp"
 
+#include "hibiscusnotch/relay/bind.hpp"
 #include "socket_io.hpp"
 
 #include <array>
@@ -98,7 +99,7 @@
       options_.endpoint.port);
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
+    BindWhenFree(acceptor_, endpoint);
     acceptor_.listen(boost::asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
     AwaitAccept();
