Leave out log lines that would have to wait for a reader

What callers saw: an instance that answers nothing any more once its log's reader has stopped reading (FAULT: it doesn't hand back, or start).

Cause: lines are written to standard output as they come; a full pipe blocks the one thread that serves.

Change: the stream is polled before each line; lines that it would not take at once are counted, and E104 states the number with why=unread.

--- a/src/hibiscusnotch/observe/logger.cpp
+++ b/src/hibiscusnotch/observe/logger.cpp
@@ -6,12 +6,45 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
 namespace hibiscusnotch::observe {
 
 namespace {
 
 constexpr const char* kLoggerName = "hibiscusnotch";
 constexpr const char* kPattern = "%d{ISO8601} %-5p %m%n";
+// With the layout's fields less than the 4,096 bytes that a pipe which accepts
+// anything accepts at once.
+constexpr std::size_t kMaxLineBytes = 3500;
+
+/// The stream that lines go to, and the lines that it did not accept.
+struct Output
+{
+  int handle = STDERR_FILENO;
+  uint64_t dropped = 0;
+};
+
+Output&
+SharedOutput()
+{
+  static Output sOutput;
+  return sOutput;
+}
+
+/// False if a write would wait for a reader, or if there is none.
+bool
+AcceptsLine(int aHandle)
+{
+  pollfd entry{ aHandle, POLLOUT, 0 };
+  constexpr int kUnwritable = POLLERR | POLLHUP | POLLNVAL;
+  return poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0 &&
+         (entry.revents & kUnwritable) == 0;
+}
 
 log4cxx::LevelPtr
 ToLog4cxxLevel(const std::string& aName)
@@ -67,6 +100,8 @@
       ? log4cxx::ConsoleAppender::getSystemOut()
       : log4cxx::ConsoleAppender::getSystemErr())));
   logger->setLevel(ToLog4cxxLevel(aSettings.level));
+  SharedOutput().handle =
+    aStream == LogStream::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
 }
 
 void
@@ -79,11 +114,25 @@
   if (!kLogger->isEnabledFor(level)) {
     return;
   }
+  Output& output = SharedOutput();
+  if (!AcceptsLine(output.handle)) {
+    ++output.dropped;
+    return;
+  }
+  if (output.dropped > 0) {
+    const uint64_t count = std::exchange(output.dropped, 0);
+    WriteEvent(aSource,
+               { core::EventNumber::LinesDropped,
+                 "count=" + std::to_string(count) + " why=unread" });
+    WriteEvent(aSource, aEvent);
+    return;
+  }
   std::string line = "E" + std::to_string(static_cast<int>(aEvent.number)) +
                      " " + std::string(description.name) + " source=" + aSource;
   if (!aEvent.detail.empty()) {
     line += " " + aEvent.detail;
   }
+  line.resize(std::min(line.size(), kMaxLineBytes));
   kLogger->forcedLog(level, line);
 }
 
