--- a/Makefile
+++ b/Makefile
@@ -24,9 +24,13 @@
 # Prints each violated guarantee and the command that repeats the run.
 SEED ?= 1
 SECONDS ?= 20
+INSTANCES ?= 6
+UPSTREAMS ?= 8
+CALLERS ?= 24
 soak: build
 	@$(BUILD)/hibiscusnotch_soak --binary $(BUILD)/hibiscusnotch \
-	  --seed $(SEED) --seconds $(SECONDS)
+	  --seed $(SEED) --seconds $(SECONDS) --instances $(INSTANCES) \
+	  --upstreams $(UPSTREAMS) --callers $(CALLERS)
 
 demo: build
 	@$(BUILD)/hibiscusnotch demo
