Log which events an attempt of a stream has brought

The users report streams out of order and kept no logs; those of an instance could not tell a stream that was cut at an attempt's end from one that goes on at the wrong event. E701 now states the number of events that a forwarded attempt has brought and the ids of the first and the last. Nothing else changes.

Test: event_splitter_test, "the first id of each source is known".

--- a/include/hibiscusnotch/relay/event_splitter.hpp
+++ b/include/hibiscusnotch/relay/event_splitter.hpp
@@ -23,6 +23,9 @@
   /// @brief Goes on after an event that the receiver already has.
   void ResumeAfter(std::string_view aId) { lastId_ = aId; }
 
+  /// @brief Tells that the bytes from here on come from another source.
+  void BeginSource() { firstId_.clear(); }
+
   /// @brief True if an event was held back; only another source goes on.
   bool IsOutOfOrder() const { return outOfOrder_; }
   /// @brief True if the incomplete event is longer than any event may be.
@@ -30,6 +33,8 @@
 
   /// @brief The id of the last complete event; empty if there was none.
   const std::string& LastId() const { return lastId_; }
+  /// @brief The id of the present source's first complete event that has one.
+  const std::string& FirstId() const { return firstId_; }
   /// @brief True while an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
   /// @brief Drops what is held back, before another source resumes the stream.
@@ -48,6 +53,7 @@
 
   std::string partial_;
   std::size_t searched_ = 0; ///< Bytes of it without the end of an event.
+  std::string firstId_;
   std::string lastId_;
   std::size_t events_ = 0;
   bool outOfOrder_ = false;
--- a/src/hibiscusnotch/entry/request_description.cpp
+++ b/src/hibiscusnotch/entry/request_description.cpp
@@ -22,6 +22,23 @@
   return "broken";
 }
 
+/// The events that the attempt has brought; empty unless it is a stream's.
+std::string
+DescribeEvents(const Exchange& aExchange)
+{
+  const Attempt& attempt = *aExchange.attempt;
+  const relay::EventSplitter& events = aExchange.events;
+  const std::size_t count = events.EventCount() - attempt.eventsBefore;
+  if (!attempt.accepted) {
+    return "";
+  }
+  return " events=" + std::to_string(count) +
+         (count > 0 && !events.FirstId().empty()
+            ? " first_event=" + events.FirstId() +
+                " last_event=" + events.LastId()
+            : "");
+}
+
 } // namespace
 
 std::string
@@ -66,6 +83,7 @@
          " end=" + std::string(OutcomeName(aOutcome)) +
          " status=" + std::to_string(attempt.head ? attempt.head->status : 0) +
          " took_ms=" + FormatMilliseconds(aNow - attempt.sentAt) +
+         DescribeEvents(aExchange) +
          (aWhy.empty() ? "" : " why=\"" + std::string(aWhy) + '"') +
          (aOutcome == relay::CallOutcome::ConnectionLost
             ? " prompt_parts=" + FormatPromptParts(aExchange.traits)
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -378,6 +378,7 @@
     observer.onEnd = [this, key](CallOutcome aOutcome, std::string_view aWhy) {
       OnAttemptEnd(key, aOutcome, aWhy);
     };
+    aExchange.events.BeginSource();
     aAttempt.call = client_.Start(std::move(aCall), std::move(observer));
     aExchange.attempt = std::move(aAttempt);
   }
--- a/src/hibiscusnotch/relay/event_splitter.cpp
+++ b/src/hibiscusnotch/relay/event_splitter.cpp
@@ -100,6 +100,9 @@
       return false;
     }
     lastId_ = std::string(*id);
+    if (firstId_.empty()) {
+      firstId_ = lastId_;
+    }
   }
   ++events_;
   return true;
--- a/src/hibiscusnotch/relay/event_splitter_test.cpp
+++ b/src/hibiscusnotch/relay/event_splitter_test.cpp
@@ -102,3 +102,17 @@
   CHECK(splitter.Feed("id: 1\ndata: a\n\n").empty());
   CHECK(splitter.IsOutOfOrder());
 }
+
+TEST_CASE("the first id of each source is known")
+{
+  EventSplitter splitter;
+  splitter.BeginSource();
+  CHECK(splitter.FirstId().empty());
+  splitter.Feed("data: a\n\nid: 3\ndata: b\n\nid: 4\ndata: c\n\n");
+  CHECK(splitter.FirstId() == "3");
+  splitter.BeginSource();
+  CHECK(splitter.FirstId().empty());
+  splitter.Feed("id: 6\ndata: d\n\n");
+  CHECK(splitter.FirstId() == "6");
+  CHECK(splitter.LastId() == "6");
+}
