Ask an upstream whether a response without a length was its whole

Cause: an accepted connection, 100 ms after the end, vouched for the upstream. The kernel accepts for a process that is ending, a proxy for one that is gone, and the next process at an address for the former one.

A refusal, another process, three resets or silence end the attempt as broken off, so that the stream is resumed or cut.

--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -5,10 +5,12 @@
 #include "hibiscusnotch/core/time.hpp"
 #include "hibiscusnotch/net/http_types.hpp"
 #include "hibiscusnotch/relay/http_reader.hpp"
+#include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hibiscusnotch::entry {
@@ -101,6 +103,16 @@
   virtual std::string WriteForwardedRequest(
     const net::HttpRequest& aRequest,
     const ForwardMetadata& aMetadata) const = 0;
+  /// @brief The complete message that asks whether the upstream's process
+  /// runs, without an execution; empty if nothing of the kind can be asked.
+  /// @param aService As configured; null if it is not.
+  virtual std::string WriteLivenessRequest(
+    const routing::UpstreamEntry& aUpstream,
+    const routing::Service* aService) const = 0;
+  /// @brief False if the response to that message shows another process.
+  virtual bool IsFromUpstream(const routing::UpstreamEntry& aUpstream,
+                              const relay::ResponseHead& aHead,
+                              std::string_view aBody) const = 0;
   virtual ResponseMetadata ReadResponse(
     const relay::ResponseHead& aHead) const = 0;
   /// @brief The headers of an upstream's response that go to the caller.
--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -45,6 +45,15 @@
   bool bodyless = false; ///< For HEAD requests, whose response has no body.
 };
 
+/// @brief A request that shows whether a call's peer still runs. What accepts a
+/// connection may be the kernel, for a process that is ending, or a proxy.
+struct LivenessCheck
+{
+  std::string message; ///< The serialised request.
+  /// @brief False if the response is another process's than the call's peer.
+  std::function<bool(const ResponseHead&, std::string_view aBody)> isFromPeer;
+};
+
 /// @brief Callbacks of one call, invoked in this order.
 struct CallObserver
 {
@@ -57,8 +66,9 @@
 ///
 /// Connections are not reused, so that no request meets leftovers of an earlier
 /// response or a connection that the peer is about to close. A response that
-/// ends with its connection counts as complete only if the peer still accepts
-/// connections: a process that is killed ends its responses in the same way.
+/// ends with its connection counts as complete only if the peer passes its
+/// liveness check, or accepts a connection where there is none: a process that
+/// is killed ends its responses in the same way.
 class OutboundClient
 {
 public:
@@ -67,6 +77,9 @@
   virtual CallId Start(OutboundCall aCall, CallObserver aObserver) = 0;
   /// @brief Closes the connection; no callback follows.
   virtual void Cancel(CallId aCall) = 0;
+  /// @brief Sets what is asked should the call's response end with its
+  /// connection.
+  virtual void SetLivenessCheck(CallId aCall, LivenessCheck aCheck) = 0;
   /// @brief Stops or resumes reading, as back pressure for a slow receiver.
   virtual void SetPaused(CallId aCall, bool aPaused) = 0;
   /// @brief Opens a connection, closes it at once and reports the result.
--- a/include/hibiscusnotch/routing/configuration.hpp
+++ b/include/hibiscusnotch/routing/configuration.hpp
@@ -66,6 +66,7 @@
 struct Service
 {
   std::string name;
+  std::string healthPath; ///< Of its upstreams; empty if not stated.
   Duration coldStart{ 0 };
   double coldRequestsPerSecond = 0; ///< A cold upstream's limit.
   std::optional<Engine> engine;
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -486,6 +486,9 @@
     Attempt& attempt = *exchange.attempt;
     attempt.head = aHead;
     attempt.metadata = headerCodec_.ReadResponse(aHead);
+    if (!aHead.isSelfDelimited && attempt.peer.empty()) {
+      SetLivenessCheck(attempt);
+    }
     if (IsForAnotherRequest(exchange, attempt)) {
       // Nothing that it states, above all "not run", is about this request.
       attempt.metadata = {};
@@ -529,6 +532,30 @@
     }
   }
 
+  /// For a response whose end alone does not tell whether it is whole.
+  void SetLivenessCheck(const Attempt& aAttempt)
+  {
+    const routing::Upstream* upstream =
+      fleet_.upstreams.Find(aAttempt.upstream);
+    if (!upstream) {
+      return;
+    }
+    const auto& entry = upstream->entry;
+    const routing::Service* service =
+      fleet_.configuration ? fleet_.configuration->FindService(entry.service)
+                           : nullptr;
+    std::string message = headerCodec_.WriteLivenessRequest(entry, service);
+    if (!message.empty()) {
+      client_.SetLivenessCheck(aAttempt.call,
+                               { std::move(message),
+                                 [this, entry](const relay::ResponseHead& aHead,
+                                               std::string_view aBody) {
+                                   return headerCodec_.IsFromUpstream(
+                                     entry, aHead, aBody);
+                                 } });
+    }
+  }
+
   /// Discards a low-confidence answer and runs a larger model.
   bool Escalate(Exchange& aExchange)
   {
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -474,6 +474,29 @@
   CHECK(fixture.Response(id).finished);
 }
 
+// Guards against responses that are cut with their upstream's process and
+// passed on as whole.
+TEST_CASE("only a response without a length needs its upstream's confirmation")
+{
+  for (const bool isSelfDelimited : { true, false }) {
+    Fixture fixture;
+    fixture.Request("stream");
+    ResponseHead head = fixture.Head(200);
+    head.isSelfDelimited = isSelfDelimited;
+    fixture.client.Head(0, head);
+    const auto& checks = fixture.client.livenessChecks;
+    const auto check = checks.find(fixture.client.sent[0].id);
+    REQUIRE((check != checks.end()) == !isSelfDelimited);
+    if (!isSelfDelimited) {
+      const std::string& message = check->second.message;
+      CHECK(message.starts_with("alive "));
+      const std::string name = message.substr(message.find(' ') + 1);
+      CHECK(check->second.isFromPeer(head, name));
+      CHECK_FALSE(check->second.isFromPeer(head, "another"));
+    }
+  }
+}
+
 TEST_CASE("a crash that ends responses without a length is evidence")
 {
   // Guards against fatal prompt parts that go unseen, as their responses look
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -776,3 +776,120 @@
   CHECK(call.end == CallOutcome::ConnectionLost);
   CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
 }
+
+namespace {
+
+/// A peer that streams without a length, closes, and answers what is asked of
+/// it next as the test says.
+struct EndingPeer
+{
+  explicit EndingPeer(Fixture& aFixture)
+    : fixture(aFixture)
+  {
+    OutboundCall call;
+    call.to = { "127.0.0.1", fixture.listener->Port() };
+    call.message = kGet;
+    id =
+      fixture.client->Start(call,
+                            { [](const ResponseHead&) {},
+                              [](std::string_view) {},
+                              [this](CallOutcome aEnd, std::string_view aWhy) {
+                                end = aEnd;
+                                why = aWhy;
+                              } });
+    fixture.client->SetLivenessCheck(
+      id,
+      { "GET /alive HTTP/1.1\r\nHost: h\r\n\r\n",
+        [](const ResponseHead&, std::string_view aBody) {
+          return aBody == "mine";
+        } });
+  }
+
+  /// Sends a part of the response and closes the connection.
+  void CloseWithoutLength()
+  {
+    REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+    const ExchangeId exchange = fixture.requests[0].first;
+    fixture.listener->Start(exchange, 200, "OK", {}, Framing::Length);
+    fixture.listener->Write(exchange, "part");
+    fixture.listener->Abort(exchange);
+  }
+
+  /// Waits for the check of that number, the first of which is 1.
+  ExchangeId AwaitCheck(std::size_t aNumber)
+  {
+    REQUIRE(
+      fixture.RunUntil([&] { return fixture.requests.size() > aNumber; }));
+    CHECK(fixture.requests[aNumber].second.target == "/alive");
+    return fixture.requests[aNumber].first;
+  }
+
+  void AwaitEnd()
+  {
+    REQUIRE(fixture.RunUntil([&] { return end.has_value(); }));
+    CHECK(fixture.client->Open() == 0);
+  }
+
+  Fixture& fixture;
+  CallId id = 0;
+  std::optional<CallOutcome> end;
+  std::string why;
+};
+
+} // namespace
+
+// Guards against streams that are cut with their upstream's process and passed
+// on as whole.
+TEST_CASE("a response without a length is whole only if its peer answers")
+{
+  Fixture fixture;
+  EndingPeer peer(fixture);
+  peer.CloseWithoutLength();
+  SUBCASE("it does")
+  {
+    fixture.Respond(peer.AwaitCheck(1), "mine");
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::Complete);
+  }
+  SUBCASE("another process does")
+  {
+    fixture.Respond(peer.AwaitCheck(1), "other");
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::ConnectionLost);
+  }
+  SUBCASE("it resets a connection, as a full one does, and answers the next")
+  {
+    fixture.listener->Abort(peer.AwaitCheck(1));
+    fixture.Respond(peer.AwaitCheck(2), "mine");
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::Complete);
+  }
+  SUBCASE("what accepts in its place closes each connection")
+  {
+    for (std::size_t check = 1; check <= 3; ++check) {
+      fixture.listener->Abort(peer.AwaitCheck(check));
+    }
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::ConnectionLost);
+  }
+  SUBCASE("what accepts in its place says nothing")
+  {
+    peer.AwaitCheck(1);
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::ConnectionLost);
+    CHECK(peer.why == "ended without a length, and liveness check timed out");
+  }
+  SUBCASE("nothing listens any more")
+  {
+    fixture.listener->StopAccepting();
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::ConnectionLost);
+  }
+  SUBCASE("the call is cancelled before it does")
+  {
+    peer.AwaitCheck(1);
+    fixture.client->Cancel(peer.id);
+    CHECK(fixture.client->Open() == 0);
+    CHECK_FALSE(peer.end);
+  }
+}
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -3,6 +3,8 @@
 #include "socket_io.hpp"
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +19,12 @@
 // within this time, also on a busy processor.
 constexpr Duration kExitTime{ 100'000 };
 
+// A peer that is full resets new connections, as one does that ends.
+constexpr int kMaxResetChecks = 3;
+constexpr Duration kLivenessCheckPause{ 100'000 };
+// What processes say of themselves is shorter.
+constexpr std::size_t kMaxLivenessBytes = 64 * 1024;
+
 // Far more than there are upstreams.
 constexpr std::size_t kMaxTrackedPeers = 4096;
 
@@ -38,6 +46,9 @@
   Duration probeAfterSilence{ 0 };
   Duration maxSilence{ 0 };
   core::Endpoint peer;
+  std::optional<LivenessCheck> liveness;
+  CallId livenessCall = 0; ///< The check in progress.
+  int resetChecks = 0;     ///< Whose connection was lost without a response.
   bool connected = false;
   bool writeFailed = false;
   bool headReported = false;
@@ -108,11 +119,16 @@
 
   void Cancel(CallId aCall) override
   {
-    const auto pending = calls_.find(aCall);
-    if (pending != calls_.end()) {
-      timers_.Cancel(pending->second.connectTimer);
-      timers_.Cancel(pending->second.silenceTimer);
-      calls_.erase(pending);
+    const auto pending = calls_.extract(aCall);
+    if (!pending.empty()) {
+      Release(pending.mapped());
+    }
+  }
+
+  void SetLivenessCheck(CallId aCall, LivenessCheck aCheck) override
+  {
+    if (PendingCall* pending = Find(aCall)) {
+      pending->liveness = std::move(aCheck);
     }
   }
 
@@ -267,13 +283,22 @@
 
   /// Tells a response that its upstream ended by a close from one that broke
   /// off with the upstream's process: the kernel closes both alike, but only a
-  /// process that goes on accepts connections.
+  /// process that goes on answers, or at least accepts connections.
   void ConfirmEnd(CallId aCall, PendingCall& aPending)
   {
     boost::system::error_code ignored;
     aPending.socket.close(ignored);
     aPending.connected = false; // there is nothing to read any more
-    timers_.Cancel(aPending.silenceTimer);
+    timers_.Cancel(std::exchange(aPending.silenceTimer, 0));
+    if (aPending.liveness) {
+      aPending.silenceTimer = timers_.After(aPending.maxSilence, [this, aCall] {
+        End(aCall,
+            CallOutcome::ConnectionLost,
+            "ended without a length, and liveness check timed out");
+      });
+      CheckLiveness(aCall, aPending);
+      return;
+    }
     aPending.silenceTimer = timers_.After(kExitTime, [this, aCall] {
       if (PendingCall* pending = Find(aCall)) {
         pending->silenceTimer = 0;
@@ -282,6 +307,73 @@
     });
   }
 
+  void CheckLiveness(CallId aCall, PendingCall& aPending)
+  {
+    struct Response
+    {
+      std::optional<ResponseHead> head;
+      std::string body;
+    };
+    const auto response = std::make_shared<Response>();
+    OutboundCall check;
+    check.to = aPending.peer;
+    check.message = aPending.liveness->message;
+    check.connectTimeout = kProbeTimeout;
+    CallObserver observer;
+    observer.onHead = [response](const ResponseHead& aHead) {
+      response->head = aHead;
+    };
+    observer.onBody = [response](std::string_view aBytes) {
+      if (response->body.size() + aBytes.size() <= kMaxLivenessBytes) {
+        response->body.append(aBytes);
+      }
+    };
+    observer.onEnd = [this, aCall, response](CallOutcome aOutcome,
+                                             std::string_view aWhy) {
+      PendingCall* pending = Find(aCall);
+      if (!pending) {
+        return;
+      }
+      pending->livenessCall = 0;
+      if (!response->head) {
+        OnLivenessUnknown(aCall, *pending, aOutcome, std::string(aWhy));
+      } else if (pending->liveness->isFromPeer(*response->head,
+                                               response->body)) {
+        End(aCall, CallOutcome::Complete, "ended without a length");
+      } else {
+        End(aCall,
+            CallOutcome::ConnectionLost,
+            "ended without a length, and another process answered");
+      }
+    };
+    aPending.livenessCall = Start(std::move(check), std::move(observer));
+  }
+
+  /// Checks again after a connection that a full peer may have reset, and while
+  /// its machine does not answer.
+  void OnLivenessUnknown(CallId aCall,
+                         PendingCall& aPending,
+                         CallOutcome aOutcome,
+                         const std::string& aWhy)
+  {
+    const bool refused =
+      aWhy == boost::system::error_code(boost::asio::error::connection_refused)
+                .message();
+    aPending.resetChecks += aOutcome == CallOutcome::ConnectionLost ? 1 : 0;
+    if (refused || aPending.resetChecks >= kMaxResetChecks) {
+      End(aCall,
+          CallOutcome::ConnectionLost,
+          "ended without a length, and liveness check failed: " + aWhy);
+      return;
+    }
+    aPending.connectTimer = timers_.After(kLivenessCheckPause, [this, aCall] {
+      if (PendingCall* pending = Find(aCall)) {
+        pending->connectTimer = 0;
+        CheckLiveness(aCall, *pending);
+      }
+    });
+  }
+
   void ProbeEndedPeer(CallId aCall, const PendingCall& aPending)
   {
     Probe(
@@ -421,14 +513,22 @@
     return Find(aCall) != nullptr;
   }
 
+  void Release(const PendingCall& aPending)
+  {
+    timers_.Cancel(aPending.connectTimer);
+    timers_.Cancel(aPending.silenceTimer);
+    if (aPending.livenessCall != 0) {
+      Cancel(aPending.livenessCall);
+    }
+  }
+
   void End(CallId aCall, CallOutcome aOutcome, std::string_view aWhy)
   {
     auto pending = calls_.extract(aCall);
     if (pending.empty()) {
       return;
     }
-    timers_.Cancel(pending.mapped().connectTimer);
-    timers_.Cancel(pending.mapped().silenceTimer);
+    Release(pending.mapped());
     boost::system::error_code ignored;
     pending.mapped().socket.close(ignored);
     const std::string why(aWhy);
--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -82,6 +82,19 @@
     return request;
   }
 
+  std::string WriteLivenessRequest(
+    const routing::UpstreamEntry& aUpstream,
+    const routing::Service* /*aService*/) const override
+  {
+    return "alive " + aUpstream.name;
+  }
+  bool IsFromUpstream(const routing::UpstreamEntry& aUpstream,
+                      const relay::ResponseHead& /*aHead*/,
+                      std::string_view aBody) const override
+  {
+    return aBody == aUpstream.name;
+  }
+
   entry::ResponseMetadata ReadResponse(
     const relay::ResponseHead& aHead) const override
   {
--- a/src/hibiscusnotch/testing/fake_outbound_client.hpp
+++ b/src/hibiscusnotch/testing/fake_outbound_client.hpp
@@ -36,6 +36,12 @@
     }
   }
 
+  void SetLivenessCheck(relay::CallId aCall,
+                        relay::LivenessCheck aCheck) override
+  {
+    livenessChecks[aCall] = std::move(aCheck);
+  }
+
   void SetPaused(relay::CallId aCall, bool aPaused) override
   {
     paused[aCall] = aPaused;
@@ -92,6 +98,7 @@
   std::vector<SentCall> sent;
   std::set<relay::CallId> cancelled;
   std::map<relay::CallId, bool> paused;
+  std::map<relay::CallId, relay::LivenessCheck> livenessChecks;
   std::set<std::string> refusing; ///< Addresses without a process.
   /// @brief In place of `refusing`, if set.
   std::function<relay::Reachability(const core::Endpoint&)> probeResult;
