Believe only the upstream itself about a response without a length

And whole answers were given up after three resets, some 300 ms, of an upstream that was full; refusals without a length were checked although their head says all.

An answer now counts if it is whole and names the upstream, states its incarnation, is a report or refuses the check; a refused connection and another process end the attempt; all else is asked again until the limit for a silent upstream. Probes that fail at once, as without a route, wait for their timeout, so that their repetition does not keep a core busy.

--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -4,7 +4,7 @@
 
 #include "hibiscusnotch/core/time.hpp"
 #include "hibiscusnotch/net/http_types.hpp"
-#include "hibiscusnotch/relay/http_reader.hpp"
+#include "hibiscusnotch/relay/outbound_client.hpp"
 #include "hibiscusnotch/routing/configuration.hpp"
 #include "hibiscusnotch/routing/upstream_table.hpp"
 
@@ -109,10 +109,10 @@
   virtual std::string WriteLivenessRequest(
     const routing::UpstreamEntry& aUpstream,
     const routing::Service* aService) const = 0;
-  /// @brief False if the response to that message shows another process.
-  virtual bool IsFromUpstream(const routing::UpstreamEntry& aUpstream,
-                              const relay::ResponseHead& aHead,
-                              std::string_view aBody) const = 0;
+  /// @brief Who sent the response to that message.
+  virtual relay::Sender SenderOf(const routing::UpstreamEntry& aUpstream,
+                                 const relay::ResponseHead& aHead,
+                                 std::string_view aBody) const = 0;
   virtual ResponseMetadata ReadResponse(
     const relay::ResponseHead& aHead) const = 0;
   /// @brief The headers of an upstream's response that go to the caller.
--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -45,13 +45,21 @@
   bool bodyless = false; ///< For HEAD requests, whose response has no body.
 };
 
+/// @brief What a response shows of the process that sent it.
+enum class Sender
+{
+  Peer,    ///< The one that it was asked of.
+  Other,   ///< Another process at its address.
+  Unknown, ///< Perhaps something in between.
+};
+
 /// @brief A request that shows whether a call's peer still runs. What accepts a
 /// connection may be the kernel, for a process that is ending, or a proxy.
 struct LivenessCheck
 {
   std::string message; ///< The serialised request.
-  /// @brief False if the response is another process's than the call's peer.
-  std::function<bool(const ResponseHead&, std::string_view aBody)> isFromPeer;
+  /// @brief Who sent the whole response to it.
+  std::function<Sender(const ResponseHead&, std::string_view aBody)> senderOf;
 };
 
 /// @brief Callbacks of one call, invoked in this order.
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -486,9 +486,6 @@
     Attempt& attempt = *exchange.attempt;
     attempt.head = aHead;
     attempt.metadata = headerCodec_.ReadResponse(aHead);
-    if (!aHead.isSelfDelimited && attempt.peer.empty()) {
-      SetLivenessCheck(attempt);
-    }
     if (IsForAnotherRequest(exchange, attempt)) {
       // Nothing that it states, above all "not run", is about this request.
       attempt.metadata = {};
@@ -504,6 +501,9 @@
       }
     }
     if (!attempt.metadata.notExecuted && !attempt.metadata.wrongUpstream) {
+      if (!aHead.isSelfDelimited && attempt.peer.empty()) {
+        SetLivenessCheck(attempt);
+      }
       fleet_.upstreams.RecordAcceptance(attempt.upstream);
       ++exchange.executions;
       exchange.mayHaveExecuted = true;
@@ -550,7 +550,7 @@
                                { std::move(message),
                                  [this, entry](const relay::ResponseHead& aHead,
                                                std::string_view aBody) {
-                                   return headerCodec_.IsFromUpstream(
+                                   return headerCodec_.SenderOf(
                                      entry, aHead, aBody);
                                  } });
     }
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -491,10 +491,18 @@
       const std::string& message = check->second.message;
       CHECK(message.starts_with("alive "));
       const std::string name = message.substr(message.find(' ') + 1);
-      CHECK(check->second.isFromPeer(head, name));
-      CHECK_FALSE(check->second.isFromPeer(head, "another"));
+      CHECK(check->second.senderOf(head, name) == relay::Sender::Peer);
+      CHECK(check->second.senderOf(head, "another") == relay::Sender::Other);
     }
   }
+  // A refusal says all in its head.
+  Fixture fixture;
+  fixture.Request("stream");
+  ResponseHead refusal = fixture.Head(503);
+  refusal.headers.emplace_back("not-run", "1");
+  refusal.isSelfDelimited = false;
+  fixture.client.Head(0, refusal);
+  CHECK(fixture.client.livenessChecks.empty());
 }
 
 TEST_CASE("a crash that ends responses without a length is evidence")
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -801,7 +801,9 @@
       id,
       { "GET /alive HTTP/1.1\r\nHost: h\r\n\r\n",
         [](const ResponseHead&, std::string_view aBody) {
-          return aBody == "mine";
+          return aBody == "mine"    ? Sender::Peer
+                 : aBody == "other" ? Sender::Other
+                                    : Sender::Unknown;
         } });
   }
 
@@ -857,33 +859,49 @@
     peer.AwaitEnd();
     CHECK(peer.end == CallOutcome::ConnectionLost);
   }
-  SUBCASE("it resets a connection, as a full one does, and answers the next")
+  SUBCASE("it closes a connection, as a full one does, and answers the next")
   {
     fixture.listener->Abort(peer.AwaitCheck(1));
     fixture.Respond(peer.AwaitCheck(2), "mine");
     peer.AwaitEnd();
     CHECK(peer.end == CallOutcome::Complete);
   }
-  SUBCASE("what accepts in its place closes each connection")
+  SUBCASE("its answer is cut, and whole the next time")
   {
-    for (std::size_t check = 1; check <= 3; ++check) {
-      fixture.listener->Abort(peer.AwaitCheck(check));
-    }
+    const ExchangeId check = peer.AwaitCheck(1);
+    fixture.listener->Start(
+      check, 200, "OK", { { "Content-Length", "10" } }, Framing::Length);
+    fixture.listener->Write(check, "mine");
+    fixture.listener->Abort(check);
+    fixture.Respond(peer.AwaitCheck(2), "mine");
+    peer.AwaitEnd();
+    CHECK(peer.end == CallOutcome::Complete);
+  }
+  SUBCASE("what is in between answers in its place, and closes connections")
+  {
+    fixture.Respond(peer.AwaitCheck(1), "no backend");
+    fixture.listener->Abort(peer.AwaitCheck(2));
+    fixture.Respond(peer.AwaitCheck(3), std::string(100'000, 'x'));
+    peer.AwaitCheck(4);
     peer.AwaitEnd();
     CHECK(peer.end == CallOutcome::ConnectionLost);
+    CHECK(peer.why ==
+          "ended without a length, and no answer to the liveness check");
   }
   SUBCASE("what accepts in its place says nothing")
   {
     peer.AwaitCheck(1);
     peer.AwaitEnd();
     CHECK(peer.end == CallOutcome::ConnectionLost);
-    CHECK(peer.why == "ended without a length, and liveness check timed out");
+    CHECK(peer.why ==
+          "ended without a length, and no answer to the liveness check");
   }
   SUBCASE("nothing listens any more")
   {
     fixture.listener->StopAccepting();
     peer.AwaitEnd();
     CHECK(peer.end == CallOutcome::ConnectionLost);
+    CHECK(peer.why == "ended without a length, and connection refused");
   }
   SUBCASE("the call is cancelled before it does")
   {
@@ -893,3 +911,19 @@
     CHECK_FALSE(peer.end);
   }
 }
+
+// Guards against probes that fail at once and are repeated without a pause.
+TEST_CASE("a probe that fails without a route is reported at its timeout")
+{
+  Fixture fixture;
+  const auto start = std::chrono::steady_clock::now();
+  std::optional<Reachability> seen;
+  fixture.client->Probe(
+    { "127.255.255.255", 1 }, Duration{ 100'000 }, [&](Reachability aReachability) {
+      seen = aReachability;
+    });
+  REQUIRE(fixture.RunUntil([&] { return seen.has_value(); }));
+  CHECK(seen == Reachability::Unreachable);
+  CHECK(std::chrono::steady_clock::now() - start >=
+        std::chrono::milliseconds(90));
+}
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -19,8 +19,7 @@
 // within this time, also on a busy processor.
 constexpr Duration kExitTime{ 100'000 };
 
-// A peer that is full resets new connections, as one does that ends.
-constexpr int kMaxResetChecks = 3;
+// Between checks that did not show who is there.
 constexpr Duration kLivenessCheckPause{ 100'000 };
 // What processes say of themselves is shorter.
 constexpr std::size_t kMaxLivenessBytes = 64 * 1024;
@@ -28,6 +27,14 @@
 // Far more than there are upstreams.
 constexpr std::size_t kMaxTrackedPeers = 4096;
 
+/// How a call's end names that no process listens at the peer's address.
+std::string
+RefusedMessage()
+{
+  return boost::system::error_code(boost::asio::error::connection_refused)
+    .message();
+}
+
 struct PendingCall
 {
   explicit PendingCall(boost::asio::io_context& aContext)
@@ -48,7 +55,6 @@
   core::Endpoint peer;
   std::optional<LivenessCheck> liveness;
   CallId livenessCall = 0; ///< The check in progress.
-  int resetChecks = 0;     ///< Whose connection was lost without a response.
   bool connected = false;
   bool writeFailed = false;
   bool headReported = false;
@@ -162,12 +168,11 @@
         if (!aError) {
           RecordActivity(aPeer);
           EndProbe(id, Reachability::Accepts);
-        } else {
-          EndProbe(id,
-                   aError == boost::asio::error::connection_refused
-                     ? Reachability::Refuses
-                     : Reachability::Unreachable);
+        } else if (aError == boost::asio::error::connection_refused) {
+          EndProbe(id, Reachability::Refuses);
         }
+        // Other errors, as of a missing route, may come at once; they are
+        // reported at the timeout, so that repeated probes keep their pace.
       });
   }
 
@@ -294,7 +299,7 @@
       aPending.silenceTimer = timers_.After(aPending.maxSilence, [this, aCall] {
         End(aCall,
             CallOutcome::ConnectionLost,
-            "ended without a length, and liveness check timed out");
+            "ended without a length, and no answer to the liveness check");
       });
       CheckLiveness(aCall, aPending);
       return;
@@ -307,6 +312,9 @@
     });
   }
 
+  /// Asks the peer until it or another process answers, no process listens
+  /// there any more, or the silence limit ends the call: a full peer may reset
+  /// connections, and something in between may answer in its place.
   void CheckLiveness(CallId aCall, PendingCall& aPending)
   {
     struct Response
@@ -323,49 +331,51 @@
     observer.onHead = [response](const ResponseHead& aHead) {
       response->head = aHead;
     };
-    observer.onBody = [response](std::string_view aBytes) {
-      if (response->body.size() + aBytes.size() <= kMaxLivenessBytes) {
-        response->body.append(aBytes);
+    observer.onBody = [this, aCall, response](std::string_view aBytes) {
+      response->body.append(aBytes);
+      if (response->body.size() > kMaxLivenessBytes) {
+        if (PendingCall* pending = Find(aCall)) {
+          Cancel(std::exchange(pending->livenessCall, 0));
+          CheckLivenessLater(aCall, *pending);
+        }
       }
     };
     observer.onEnd = [this, aCall, response](CallOutcome aOutcome,
                                              std::string_view aWhy) {
-      PendingCall* pending = Find(aCall);
-      if (!pending) {
-        return;
-      }
-      pending->livenessCall = 0;
-      if (!response->head) {
-        OnLivenessUnknown(aCall, *pending, aOutcome, std::string(aWhy));
-      } else if (pending->liveness->isFromPeer(*response->head,
-                                               response->body)) {
-        End(aCall, CallOutcome::Complete, "ended without a length");
-      } else {
-        End(aCall,
-            CallOutcome::ConnectionLost,
-            "ended without a length, and another process answered");
+      if (PendingCall* pending = Find(aCall)) {
+        pending->livenessCall = 0;
+        const Sender sender =
+          aOutcome == CallOutcome::Complete
+            ? pending->liveness->senderOf(*response->head, response->body)
+            : Sender::Unknown;
+        OnLivenessChecked(aCall, *pending, sender, aWhy);
       }
     };
     aPending.livenessCall = Start(std::move(check), std::move(observer));
   }
 
-  /// Checks again after a connection that a full peer may have reset, and while
-  /// its machine does not answer.
-  void OnLivenessUnknown(CallId aCall,
+  void OnLivenessChecked(CallId aCall,
                          PendingCall& aPending,
-                         CallOutcome aOutcome,
-                         const std::string& aWhy)
+                         Sender aSender,
+                         std::string_view aWhy)
   {
-    const bool refused =
-      aWhy == boost::system::error_code(boost::asio::error::connection_refused)
-                .message();
-    aPending.resetChecks += aOutcome == CallOutcome::ConnectionLost ? 1 : 0;
-    if (refused || aPending.resetChecks >= kMaxResetChecks) {
+    if (aSender == Sender::Peer) {
+      End(aCall, CallOutcome::Complete, "ended without a length");
+    } else if (aSender == Sender::Other) {
       End(aCall,
           CallOutcome::ConnectionLost,
-          "ended without a length, and liveness check failed: " + aWhy);
-      return;
+          "ended without a length, and another process answered");
+    } else if (aWhy == RefusedMessage()) {
+      End(aCall,
+          CallOutcome::ConnectionLost,
+          "ended without a length, and connection refused");
+    } else {
+      CheckLivenessLater(aCall, aPending);
     }
+  }
+
+  void CheckLivenessLater(CallId aCall, PendingCall& aPending)
+  {
     aPending.connectTimer = timers_.After(kLivenessCheckPause, [this, aCall] {
       if (PendingCall* pending = Find(aCall)) {
         pending->connectTimer = 0;
--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -88,11 +88,11 @@
   {
     return "alive " + aUpstream.name;
   }
-  bool IsFromUpstream(const routing::UpstreamEntry& aUpstream,
-                      const relay::ResponseHead& /*aHead*/,
-                      std::string_view aBody) const override
+  relay::Sender SenderOf(const routing::UpstreamEntry& aUpstream,
+                         const relay::ResponseHead& /*aHead*/,
+                         std::string_view aBody) const override
   {
-    return aBody == aUpstream.name;
+    return aBody == aUpstream.name ? relay::Sender::Peer : relay::Sender::Other;
   }
 
   entry::ResponseMetadata ReadResponse(
