Go on serving when descriptors are used up

Callers saw: no answer at all, on any port, for as long as others held all descriptors of an instance with idle connections; readiness checks failed, one core was busy and the log was silent. Calls to upstreams that found no descriptor marked the upstream as suspect, and probes counted as unanswered, so that the guard for cut links could take the shortage for a cut.

Cause: a connection that cannot be accepted (EMFILE, ENFILE, ENOBUFS, ENOMEM) stays in the queue and keeps the listening socket readable. relay/listener waited for readiness again and was woken at once; net/http_server and mesh/mesh_node called accept again at once. An error that concerns one connection alone ended the round as well.

The tests of NotStarted and Untried do not compile before.

Why it works: connections that have been idle longest are given up for new ones and for calls to upstreams, whichever listener of the process holds them. Where none is idle, a held descriptor accepts the connection and refuses it with 503 and Retry-After; those for readiness checks serve them. If nothing helps, accepting pauses for 100 ms. A call or probe that this process could not start has an outcome of its own, which no one is blamed for. E107, E108 and a counter report the time as a whole.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -17,6 +17,8 @@
   SettingsReloaded = 103,
   LinesDropped = 104,
   Readiness = 105,
+  DescriptorsUsedUp = 107,
+  DescriptorsRegained = 108,
   ConfigurationApplied = 200,
   ConfigurationUnreadable = 201,
   ConfigurationAccepted = 202,
--- a/include/hibiscusnotch/entry/uplink_guard.hpp
+++ b/include/hibiscusnotch/entry/uplink_guard.hpp
@@ -91,6 +91,9 @@
   void FinishCheck(const Check& aCheck);
   void SetReached(const std::string& aName, TimePoint aAt);
   void SetLost(const std::string& aName, std::size_t aUpstreams);
+  /// The zone's upstreams could not be tried: neither the way to them nor they
+  /// themselves are blamed.
+  void SetUnexplained(const std::string& aName);
   void SetRegained(const std::string& aName);
   void ScheduleRecheck();
   void FinishRecheck(const Check& aCheck);
--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -50,6 +50,7 @@
   MeshBytesReceived,
   ForwardedRequests,
   SlowReadersEnded,
+  DescriptorShortages,
   ExpectedCachedTokens,
   MissedCachedTokens,
 };
--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
+#include "hibiscusnotch/relay/descriptor_reserve.hpp"
 #include "hibiscusnotch/relay/http_reader.hpp"
 #include "hibiscusnotch/relay/unsent_budget.hpp"
 
@@ -23,6 +24,9 @@
   Duration headerTimeout{ 3'000'000 };
   Duration bodyTimeout{ 30'000'000 }; ///< For the whole body.
   Duration idleTimeout{ 15'000'000 };
+  /// @brief Its connections are served also from the descriptors that are held
+  /// back: for few short exchanges, such as readiness checks.
+  bool usesReserve = false;
 };
 
 struct ListenerObserver
@@ -77,11 +81,14 @@
 
 /// @brief Starts to listen; throws if the endpoint cannot be bound.
 /// @param aBudget Bounds the unsent bytes, if given; must outlive the listener.
+/// @param aReserve Keeps the process able to answer without descriptors, if
+/// given; must outlive the listener.
 std::unique_ptr<Listener>
 MakeListener(boost::asio::io_context& aContext,
              Timers& aTimers,
              ListenerOptions aOptions,
              ListenerObserver aObserver,
-             UnsentBudget* aBudget = nullptr);
+             UnsentBudget* aBudget = nullptr,
+             DescriptorReserve* aReserve = nullptr);
 
 } // namespace hibiscusnotch::relay
--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
+#include "hibiscusnotch/relay/descriptor_reserve.hpp"
 #include "hibiscusnotch/relay/http_reader.hpp"
 
 #include <functional>
@@ -17,8 +18,10 @@
 /// @brief How a call ended; tells whether the peer may have run the request.
 enum class CallOutcome
 {
-  Complete,       ///< The whole response was received.
-  NotSent,        ///< No byte of the request reached the peer.
+  Complete, ///< The whole response was received.
+  NotSent,  ///< No byte of the request reached the peer.
+  /// This process lacked descriptors or memory; says nothing about the peer.
+  NotStarted,
   ConnectionLost, ///< The connection failed after bytes were sent.
 };
 
@@ -28,6 +31,7 @@
   Accepts,
   Refuses,     ///< Its machine answers, but no process listens there.
   Unreachable, ///< Nothing answers in time.
+  Untried,     ///< This process lacked descriptors or memory.
 };
 
 struct OutboundCall
@@ -76,7 +80,11 @@
   virtual std::size_t Open() const = 0;
 };
 
+/// @param aReserve Makes room for connections, if given; must outlive the
+/// client.
 std::unique_ptr<OutboundClient>
-MakeOutboundClient(boost::asio::io_context& aContext, Timers& aTimers);
+MakeOutboundClient(boost::asio::io_context& aContext,
+                   Timers& aTimers,
+                   DescriptorReserve* aReserve = nullptr);
 
 } // namespace hibiscusnotch::relay
--- a/include/hibiscusnotch/store/mirror_server.hpp
+++ b/include/hibiscusnotch/store/mirror_server.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
+#include "hibiscusnotch/relay/descriptor_reserve.hpp"
 #include "hibiscusnotch/store/mirror.hpp"
 
 #include <memory>
@@ -40,6 +41,7 @@
 std::unique_ptr<MirrorServer>
 MakeMirrorServer(boost::asio::io_context& aContext,
                  relay::Timers& aTimers,
-                 core::Endpoint aEndpoint);
+                 core::Endpoint aEndpoint,
+                 relay::DescriptorReserve* aReserve = nullptr);
 
 } // namespace hibiscusnotch::store
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <sys/resource.h>
 #include <vector>
 
 namespace hibiscusnotch::entry {
@@ -40,6 +41,14 @@
   return options;
 }
 
+relay::ListenerOptions
+ReadinessOptionsFor(const core::Endpoint& aEndpoint)
+{
+  relay::ListenerOptions options = ListenerOptionsFor(aEndpoint);
+  options.usesReserve = true;
+  return options;
+}
+
 EventLogOptions
 EventLogOptionsFor(const std::string& aSource)
 {
@@ -74,10 +83,11 @@
        const EntryNodeDependencies& aDependencies)
     : options_(std::move(aOptions))
     , timers_(relay::MakeTimers(aContext, relay::BootClock()))
-    , client_(relay::MakeOutboundClient(aContext, *timers_))
+    , log_(*timers_, EventLogOptionsFor(options_.instanceName))
+    , reserve_(*timers_, DescriptorObserver())
+    , client_(relay::MakeOutboundClient(aContext, *timers_, &reserve_))
     , storeClient_(aDependencies.makeStore(*client_, *timers_))
     , metrics_(observe::MakeMetrics())
-    , log_(*timers_, EventLogOptionsFor(options_.instanceName))
     , store_(store::MakeLossDetectingStore(*storeClient_,
                                            *timers_,
                                            {},
@@ -101,26 +111,34 @@
                             *timers_,
                             ListenerOptionsFor(options_.callerEndpoint),
                             RequestObserver(RequestOrigin::Caller),
-                            &unsentBudget_))
+                            &unsentBudget_,
+                            &reserve_))
     , forwardListener_(relay::MakeListener(
         aContext,
         *timers_,
         ListenerOptionsFor(
           InstanceInfo{ options_.peerEndpoint, {}, 0 }.ForwardEndpoint()),
         RequestObserver(RequestOrigin::Instance),
-        &unsentBudget_))
+        &unsentBudget_,
+        &reserve_))
     , readinessListener_(
         relay::MakeListener(aContext,
                             *timers_,
-                            ListenerOptionsFor(options_.readinessEndpoint),
-                            ReadinessObserver()))
+                            ReadinessOptionsFor(options_.readinessEndpoint),
+                            ReadinessObserver(),
+                            nullptr,
+                            &reserve_))
     , metricsListener_(
         relay::MakeListener(aContext,
                             *timers_,
                             ListenerOptionsFor(options_.metricsEndpoint),
-                            MetricsObserver()))
-    , mirrors_(
-        store::MakeMirrorServer(aContext, *timers_, options_.peerEndpoint))
+                            MetricsObserver(),
+                            nullptr,
+                            &reserve_))
+    , mirrors_(store::MakeMirrorServer(aContext,
+                                       *timers_,
+                                       options_.peerEndpoint,
+                                       &reserve_))
     , mirroredStore_(store::MakeMirroredStore(
         *store_,
         *client_,
@@ -153,6 +171,7 @@
                  " callers=" + options_.callerEndpoint.address + ':' +
                  std::to_string(options_.callerEndpoint.port));
     UpdateGauges();
+    reserve_.Refill();
   }
 
   void Drain(const std::function<void()>& aDone) override
@@ -193,6 +212,23 @@
              } };
   }
 
+  relay::ShortageObserver DescriptorObserver()
+  {
+    return { [this] {
+              rlimit limit{};
+              getrlimit(RLIMIT_NOFILE, &limit);
+              log_.Write(EventNumber::DescriptorsUsedUp,
+                         "limit=" + std::to_string(limit.rlim_cur));
+            },
+             [this](const relay::Shortage& aShortage) {
+               log_.Write(
+                 EventNumber::DescriptorsRegained,
+                 "after_ms=" + std::to_string(aShortage.lasted.count() / 1000) +
+                   " closed_idle=" + std::to_string(aShortage.closedIdle) +
+                   " refused=" + std::to_string(aShortage.refused));
+             } };
+  }
+
   store::LossDetectionObserver LossObserver()
   {
     return { [this](const std::string& aKind,
@@ -352,6 +388,8 @@
                   static_cast<double>(unsentBudget_.HeldBytes()));
     metrics_->RaiseTo(observe::Counter::SlowReadersEnded,
                       unsentBudget_.EndedCount());
+    metrics_->RaiseTo(observe::Counter::DescriptorShortages,
+                      reserve_.ShortageCount());
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
     metrics_->RaiseTo(
       observe::Counter::ExpectedCachedTokens,
@@ -364,10 +402,11 @@
   EntryNodeOptions options_;
   FleetState fleet_;
   std::unique_ptr<relay::Timers> timers_;
+  EventLog log_;
+  relay::DescriptorReserve reserve_;
   std::unique_ptr<relay::OutboundClient> client_;
   std::unique_ptr<store::ObjectStore> storeClient_;
   std::unique_ptr<observe::Metrics> metrics_;
-  EventLog log_;
   std::unique_ptr<store::ObjectStore> store_;
   std::unique_ptr<RequestRouter> router_;
   relay::UnsentBudget unsentBudget_;
--- a/src/hibiscusnotch/entry/request_description.cpp
+++ b/src/hibiscusnotch/entry/request_description.cpp
@@ -16,6 +16,8 @@
       return "complete";
     case relay::CallOutcome::NotSent:
       return "not_sent";
+    case relay::CallOutcome::NotStarted:
+      return "not_started";
     case relay::CallOutcome::ConnectionLost:
       return "broken";
   }
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -693,6 +693,10 @@
       case CallOutcome::NotSent:
         OnNotSent(exchange, attempt);
         return;
+      case CallOutcome::NotStarted:
+        // Says nothing about the upstream or the way to it.
+        Retry(exchange, Reason::CapacityLimit, false);
+        return;
       case CallOutcome::ConnectionLost:
         OnConnectionLost(exchange, attempt);
         return;
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -210,6 +210,22 @@
   CHECK(fixture.Response(id).status == 200);
 }
 
+// Guards against upstreams that are avoided since this instance had no
+// descriptor left.
+TEST_CASE("a call that was not started blames no upstream")
+{
+  Fixture fixture;
+  const auto id = fixture.Request("unsafe");
+  fixture.client.End(0, CallOutcome::NotStarted);
+  for (const auto& [upstream, row] : fixture.fleet.upstreams.Rows()) {
+    CHECK(row.consecutiveFailures == 0);
+    CHECK(row.suspectUntil <= fixture.timers.Now());
+  }
+  REQUIRE(fixture.client.sent.size() == 2);
+  fixture.Reply(1, 200);
+  CHECK(fixture.Response(id).status == 200);
+}
+
 TEST_CASE("a success without proof of origin is rejected")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/entry/uplink_guard.cpp
+++ b/src/hibiscusnotch/entry/uplink_guard.cpp
@@ -39,6 +39,7 @@
     std::size_t usable = 0; ///< Upstreams of the zone.
     std::size_t probes = 0;
     std::size_t accepted = 0;
+    std::size_t untried = 0; ///< For lack of descriptors of this instance.
   };
 
   TimePoint startedAt{};
@@ -243,6 +244,8 @@
       [check, name = name, aFinish](relay::Reachability aReachability) {
         check->zones[name].accepted +=
           aReachability == relay::Reachability::Accepts ? 1 : 0;
+        check->zones[name].untried +=
+          aReachability == relay::Reachability::Untried ? 1 : 0;
         if (--check->open == 0) {
           aFinish(*check);
         }
@@ -264,6 +267,10 @@
   const bool reachesAny = std::ranges::any_of(aCheck.zones, isReached);
   for (const auto& entry : aCheck.zones) {
     const auto& [name, tally] = entry;
+    if (tally.untried > 0 && !isReached(entry)) {
+      SetUnexplained(name);
+      continue;
+    }
     // A lone upstream that fails beside others that are reached is to blame.
     const bool isTold =
       tally.usable >= kMinFailures ||
@@ -306,6 +313,17 @@
   ScheduleRecheck();
 }
 
+void
+UplinkGuard::SetUnexplained(const std::string& aName)
+{
+  Zone& zone = zones_[aName];
+  zone.failed.clear();
+  zone.failingSince.reset();
+  for (const PendingReport& pending : std::exchange(zone.pending, {})) {
+    pending.report(true);
+  }
+}
+
 void
 UplinkGuard::SetRegained(const std::string& aName)
 {
@@ -337,6 +355,9 @@
   rechecking_ = false;
   for (const auto& [name, tally] : aCheck.zones) {
     Zone& zone = zones_[name];
+    if (tally.accepted == 0 && tally.untried > 0) {
+      continue;
+    }
     zone.regainedProbes =
       tally.accepted > 0 ? zone.regainedProbes + tally.accepted : 0;
     // A zone without upstreams has none that could be out of reach.
--- a/src/hibiscusnotch/entry/uplink_guard_test.cpp
+++ b/src/hibiscusnotch/entry/uplink_guard_test.cpp
@@ -229,3 +229,31 @@
   fixture.Fail(3);
   CHECK(fixture.fleet.unreachableZones.empty());
 }
+
+// Guards against a cut, or a blame, that this instance's own lack of
+// descriptors brings about.
+TEST_CASE("upstreams that could not be tried are neither cut off nor blamed")
+{
+  Fixture fixture;
+  fixture.reachability = Reachability::Untried;
+  std::optional<bool> unreachable;
+  fixture.Fail(0);
+  fixture.guard.ExplainFailure(fixture.upstreams[0],
+                               [&](bool aSeen) { unreachable = aSeen; });
+  fixture.Fail(1);
+  CHECK_FALSE(fixture.guard.IsCutOff());
+  fixture.timers.Advance(kSecond);
+  CHECK_FALSE(fixture.guard.IsCutOff());
+  CHECK(unreachable == true);
+  // Nor do they end a cut.
+  fixture.reachability = Reachability::Refuses;
+  fixture.Fail(0);
+  fixture.Fail(1);
+  CHECK(fixture.guard.IsCutOff());
+  fixture.reachability = Reachability::Untried;
+  fixture.timers.Advance(kSecond);
+  CHECK(fixture.guard.IsCutOff());
+  fixture.reachability = Reachability::Accepts;
+  fixture.timers.Advance(kSecond);
+  CHECK_FALSE(fixture.guard.IsCutOff());
+}
--- a/src/hibiscusnotch/mesh/mesh_node.cpp
+++ b/src/hibiscusnotch/mesh/mesh_node.cpp
@@ -32,6 +32,9 @@
 constexpr auto kPingInterval = std::chrono::milliseconds(500);
 constexpr auto kPeerSilenceTimeout = std::chrono::milliseconds(2000);
 constexpr auto kReconnectDelay = std::chrono::milliseconds(200);
+// After a connection could not be accepted, for example for lack of
+// descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(100);
 constexpr int32_t kFlowControlWindowBytes = 1 << 24;
 constexpr std::string_view kInstanceHeader = "x-instance";
 constexpr std::string_view kFingerprintHeader = "x-settings";
@@ -417,6 +420,9 @@
         co_return;
       }
       if (error) {
+        // A connection that cannot be accepted waits in the queue.
+        asio::steady_timer pause(context_, kAcceptPause);
+        co_await pause.async_wait(kAwaitAsTuple);
         continue;
       }
       const ConnectionPointer connection =
--- a/src/hibiscusnotch/mesh/mesh_node_test.cpp
+++ b/src/hibiscusnotch/mesh/mesh_node_test.cpp
@@ -1,7 +1,10 @@
 #include "hibiscusnotch/mesh/mesh_node.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <ctime>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 using namespace hibiscusnotch;
 using namespace hibiscusnotch::mesh;
@@ -93,3 +96,26 @@
   CHECK(RunUntil(context, [&] { return unreadable > 0; }));
   CHECK(received == 0);
 }
+
+// Guards against an instance that keeps a processor busy while a peer waits
+// that it has no descriptor for.
+TEST_CASE("an instance without free descriptors waits for its peers")
+{
+  const core::Settings settings = MakeSettings();
+  boost::asio::io_context context;
+  const auto node = MakeMeshNode(context, settings, core::InstanceId{ 0 }, {});
+  boost::asio::ip::tcp::socket peer(context);
+  peer.connect({ boost::asio::ip::make_address("127.77.0.1"), 18100 });
+  rlimit former{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const rlimit none{ 0, former.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &none);
+  const std::clock_t before = std::clock();
+  context.run_for(std::chrono::milliseconds(500));
+  const std::clock_t used = std::clock() - before;
+  setrlimit(RLIMIT_NOFILE, &former);
+  CHECK(used < CLOCKS_PER_SEC / 20); // a tenth of the time
+  context.restart();
+  context.run_for(std::chrono::milliseconds(400));
+  CHECK(peer.available() > 0); // the settings of the accepted connection
+}
--- a/src/hibiscusnotch/net/http_server.cpp
+++ b/src/hibiscusnotch/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <deque>
 #include <map>
 
@@ -29,6 +30,9 @@
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr unsigned kHttpVersion = 11;
+// After a connection could not be accepted, for example for lack of
+// descriptors.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
 // What is not parsed yet, beyond a head; also limits a chunk's size line and
 // trailers.
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
@@ -214,6 +218,9 @@
         co_return;
       }
       if (error) {
+        // A connection that cannot be accepted waits in the queue.
+        asio::steady_timer pause(context_, kAcceptPause);
+        co_await pause.async_wait(kAwaitAsTuple);
         continue;
       }
       beast::error_code ignored;
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -8,8 +8,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <ctime>
 #include <doctest/doctest.h>
 #include <optional>
+#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 
@@ -402,3 +404,28 @@
   CHECK(response.starts_with("HTTP/1.1 4"));
   CHECK(echo.requests == 0);
 }
+
+// Guards against a server that keeps a processor busy while a connection waits
+// that it has no descriptor for.
+TEST_CASE("a server without free descriptors waits and goes on serving")
+{
+  boost::asio::io_context context;
+  const EchoServer server(context);
+  tcp::socket client(context);
+  client.connect(tcp::endpoint(boost::asio::ip::make_address(kEndpoint.address),
+                               kEndpoint.port));
+  rlimit former{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const rlimit none{ 0, former.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &none);
+  const std::clock_t before = std::clock();
+  context.run_for(std::chrono::milliseconds(500));
+  const std::clock_t used = std::clock() - before;
+  setrlimit(RLIMIT_NOFILE, &former);
+  CHECK(used < CLOCKS_PER_SEC / 20); // a tenth of the time
+  context.restart();
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  boost::asio::write(client, boost::asio::buffer(request));
+  context.run_for(std::chrono::milliseconds(400));
+  CHECK(server.requests == 1);
+}
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -68,6 +68,9 @@
   MetricDescription{ "hibiscusnotch_slow_readers_ended_total",
                      "Exchanges ended as the budget of unsent bytes was used "
                      "up" },
+  MetricDescription{ "hibiscusnotch_descriptor_shortages_total",
+                     "Times in which connections could not be opened for lack "
+                     "of descriptors or memory" },
   MetricDescription{ "hibiscusnotch_expected_cached_tokens_total",
                      "Prompt tokens that upstreams were expected to cache" },
   MetricDescription{ "hibiscusnotch_missed_cached_tokens_total",
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -20,6 +20,15 @@
 // While draining, an idle connection stays open for this time, so that a
 // request that is already in flight is still answered.
 constexpr Duration kDrainIdleTimeout{ 1'000'000 };
+// After connections could not be accepted. Those that wait keep the socket
+// readable, so that waiting for it would return at once.
+constexpr Duration kAcceptPause{ 100'000 };
+// An idle connection is not given up before this time, in which the first
+// request of a new one arrives.
+constexpr Duration kMinIdleTime{ 100'000 };
+constexpr std::string_view kRefusal =
+  "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+  "Content-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 // Sent bytes at the front of a buffer are dropped from this size on, and empty
 // buffers of this size are freed.
@@ -51,6 +60,7 @@
   std::size_t written = 0;
   std::unique_ptr<RequestReader> reader;
   Phase phase = Phase::Idle;
+  TimePoint idleSince{};
   ExchangeId exchange = 0;
   bool chunked = false;
   bool responseStarted = false;
@@ -64,6 +74,21 @@
   std::optional<UnsentBudget::HolderId> holder; ///< While bytes are unsent.
 };
 
+/// True if a failed accept concerns the one connection that it removed from the
+/// queue.
+bool
+ConcernsOneConnection(const boost::system::error_code& aError)
+{
+  namespace errc = boost::system::errc;
+  return aError == errc::connection_aborted || aError == errc::protocol_error ||
+         aError == errc::interrupted ||
+         aError == errc::operation_not_permitted ||
+         aError == errc::network_down || aError == errc::network_unreachable ||
+         aError == errc::host_unreachable ||
+         aError == errc::no_protocol_option ||
+         aError == errc::operation_not_supported;
+}
+
 std::string_view
 ReasonPhrase(int aStatus)
 {
@@ -86,11 +111,13 @@
               Timers& aTimers,
               ListenerOptions aOptions,
               ListenerObserver aObserver,
-              UnsentBudget* aBudget)
+              UnsentBudget* aBudget,
+              DescriptorReserve* aReserve)
     : timers_(aTimers)
     , options_(std::move(aOptions))
     , observer_(std::move(aObserver))
     , budget_(aBudget)
+    , reserve_(aReserve)
     , acceptor_(aContext)
     , context_(aContext)
   {
@@ -102,11 +129,18 @@
     BindWhenFree(acceptor_, endpoint);
     acceptor_.listen(boost::asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
+    if (reserve_) {
+      source_ = reserve_->AddSource([this] { return CloseLongestIdle(); });
+    }
     AwaitAccept();
   }
 
   ~TcpListener() override
   {
+    timers_.Cancel(acceptTimer_);
+    if (reserve_) {
+      reserve_->RemoveSource(source_);
+    }
     for (auto& [id, connection] : connections_) {
       timers_.Cancel(connection.timer);
       ReleaseUnsent(connection);
@@ -182,6 +216,7 @@
       return;
     }
     connection->phase = Phase::Idle;
+    connection->idleSince = timers_.Now();
     Flush(id);
     if (Connection* still = Find(id)) {
       still->reader = MakeRequestReader(options_.limits);
@@ -227,6 +262,7 @@
 
   void StopAccepting() override
   {
+    timers_.Cancel(std::exchange(acceptTimer_, 0));
     boost::system::error_code ignored;
     acceptor_.close(ignored);
   }
@@ -261,39 +297,131 @@
   void AwaitAccept()
   {
     acceptor_.async_wait(tcp::acceptor::wait_read,
-                         [this](const boost::system::error_code& aError) {
-                           if (!aError) {
-                             AcceptAll();
+                         [this, alive = std::weak_ptr(alive_)](
+                           const boost::system::error_code& aError) {
+                           if (alive.expired() || !acceptor_.is_open()) {
+                             return;
+                           }
+                           if (!aError && AcceptAll()) {
                              AwaitAccept();
+                           } else {
+                             acceptTimer_ = timers_.After(kAcceptPause, [this] {
+                               acceptTimer_ = 0;
+                               AwaitAccept();
+                             });
                            }
                          });
   }
 
-  void AcceptAll()
+  /// Accepts the connections that wait; false if one cannot be accepted now.
+  bool AcceptAll()
   {
     while (true) {
       boost::system::error_code error;
       tcp::socket socket(context_);
       acceptor_.accept(socket, error);
-      if (error) {
-        return;
+      if (IsShortage(error)) {
+        if (!AcceptWithoutRoom(socket)) {
+          return false;
+        }
+      } else if (error == boost::asio::error::would_block) {
+        return true;
+      } else if (ConcernsOneConnection(error)) {
+        continue;
+      } else if (error) {
+        return false;
       }
-      PrepareSocket(socket);
-      if (budget_ && budget_->IsBounded()) {
-        socket.set_option(
-          boost::asio::socket_base::send_buffer_size(kBoundedSendBufferBytes),
-          error);
+      if (socket.is_open()) {
+        AddConnection(std::move(socket));
       }
-      const ConnectionId id = ++lastConnection_;
-      Connection& connection =
-        connections_.try_emplace(id, std::move(socket)).first->second;
-      connection.reader = MakeRequestReader(options_.limits);
-      connection.exchange = id << kExchangeBits;
-      SetTimer(id, connection, options_.idleTimeout);
-      AwaitRead(id, connection);
     }
   }
 
+  /// Accepts one connection in place of an idle one, or refuses it at once, so
+  /// that its client does not wait; false if there is no means for either. The
+  /// socket is open if the connection is to be served.
+  bool AcceptWithoutRoom(tcp::socket& aSocket)
+  {
+    if (!reserve_) {
+      return false;
+    }
+    boost::system::error_code error;
+    if (reserve_->MakeRoom()) {
+      acceptor_.accept(aSocket, error);
+      return !error;
+    }
+    if (options_.usesReserve && reserve_->TakeHeld(false)) {
+      acceptor_.accept(aSocket, error);
+      return !error;
+    }
+    if (!reserve_->TakeHeld(true)) {
+      return false;
+    }
+    acceptor_.accept(aSocket, error);
+    if (!error) {
+      Refuse(aSocket);
+      reserve_->RecordRefusal();
+    }
+    reserve_->Refill();
+    return !error;
+  }
+
+  static void Refuse(tcp::socket& aSocket)
+  {
+    PrepareSocket(aSocket);
+    boost::system::error_code ignored;
+    // Unread bytes would turn the close into a reset, which can overtake the
+    // response.
+    std::string request;
+    ReadSome(aSocket, request, ignored);
+    std::size_t written = 0;
+    WriteSome(aSocket, std::string(kRefusal), written, ignored);
+    aSocket.close(ignored);
+  }
+
+  void AddConnection(tcp::socket aSocket)
+  {
+    PrepareSocket(aSocket);
+    boost::system::error_code ignored;
+    if (budget_ && budget_->IsBounded()) {
+      aSocket.set_option(
+        boost::asio::socket_base::send_buffer_size(kBoundedSendBufferBytes),
+        ignored);
+    }
+    const ConnectionId id = ++lastConnection_;
+    Connection& connection =
+      connections_.try_emplace(id, std::move(aSocket)).first->second;
+    connection.reader = MakeRequestReader(options_.limits);
+    connection.exchange = id << kExchangeBits;
+    connection.idleSince = timers_.Now();
+    SetTimer(id, connection, options_.idleTimeout);
+    AwaitRead(id, connection);
+  }
+
+  /// Gives up the connection that has been idle longest; false if there is
+  /// none.
+  bool CloseLongestIdle()
+  {
+    const TimePoint idleBefore = timers_.Now() - kMinIdleTime;
+    auto longest = connections_.end();
+    for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+      const Connection& connection = it->second;
+      boost::system::error_code error;
+      if (connection.phase == Phase::Idle &&
+          connection.idleSince <= idleBefore && connection.out.empty() &&
+          (longest == connections_.end() ||
+           connection.idleSince < longest->second.idleSince) &&
+          connection.socket.available(error) == 0) {
+        longest = it;
+      }
+    }
+    if (longest == connections_.end()) {
+      return false;
+    }
+    Close(longest->first, false);
+    return true;
+  }
+
   void AwaitRead(ConnectionId aId, Connection& aConnection)
   {
     if (aConnection.waitingRead || aConnection.peerClosed) {
@@ -532,6 +660,9 @@
                                    ignored);
     }
     connection.socket.close(ignored);
+    if (reserve_ && options_.usesReserve) {
+      reserve_->Refill();
+    }
     if (connection.phase == Phase::Serving) {
       --openExchanges_;
       observer_.onClientDisconnected(connection.exchange);
@@ -542,6 +673,9 @@
   ListenerOptions options_;
   ListenerObserver observer_;
   UnsentBudget* budget_;
+  DescriptorReserve* reserve_;
+  DescriptorReserve::SourceId source_ = 0;
+  TimerId acceptTimer_ = 0;
   tcp::acceptor acceptor_;
   boost::asio::io_context& context_;
   std::unordered_map<ConnectionId, Connection> connections_;
@@ -560,10 +694,15 @@
              Timers& aTimers,
              ListenerOptions aOptions,
              ListenerObserver aObserver,
-             UnsentBudget* aBudget)
+             UnsentBudget* aBudget,
+             DescriptorReserve* aReserve)
 {
-  return std::make_unique<TcpListener>(
-    aContext, aTimers, std::move(aOptions), std::move(aObserver), aBudget);
+  return std::make_unique<TcpListener>(aContext,
+                                       aTimers,
+                                       std::move(aOptions),
+                                       std::move(aObserver),
+                                       aBudget,
+                                       aReserve);
 }
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <optional>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -776,3 +777,70 @@
   CHECK(call.end == CallOutcome::ConnectionLost);
   CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
 }
+
+// Guards against an upstream that is blamed for the descriptors which this
+// process lacks.
+TEST_CASE("a call without a free descriptor is told from one that failed")
+{
+  Fixture fixture;
+  rlimit former{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const rlimit none{ 0, former.rlim_max };
+  const core::Endpoint peer{ "127.0.0.1", fixture.listener->Port() };
+  std::optional<CallOutcome> end;
+  std::optional<Reachability> seen;
+  OutboundCall call;
+  call.to = peer;
+  call.message = kGet;
+  setrlimit(RLIMIT_NOFILE, &none);
+  fixture.client->Start(
+    call,
+    { [](const ResponseHead&) {},
+      [](std::string_view) {},
+      [&end](CallOutcome aEnd, std::string_view) { end = aEnd; } });
+  fixture.client->Probe(
+    peer, Duration{ 10'000 }, [&seen](Reachability aSeen) { seen = aSeen; });
+  const bool reported = fixture.RunUntil([&] { return end && seen; });
+  setrlimit(RLIMIT_NOFILE, &former);
+  REQUIRE(reported);
+  CHECK(end == CallOutcome::NotStarted);
+  CHECK(seen == Reachability::Untried);
+}
+
+// Guards against a request that arrives with its connection and is lost, as the
+// connection is taken for an idle one.
+TEST_CASE("only connections that have been idle for a while make room")
+{
+  boost::asio::io_context context;
+  const auto timers = MakeTimers(context, BootClock());
+  DescriptorReserve reserve(*timers, { [] {}, [](const Shortage&) {} });
+  ListenerOptions options;
+  options.endpoint = { "127.0.0.1", 0 };
+  std::size_t requests = 0;
+  const auto listener = MakeListener(
+    context,
+    *timers,
+    options,
+    { [&requests](ExchangeId, const net::HttpRequest&) { ++requests; },
+      [](ExchangeId) {},
+      [](ExchangeId) {} },
+    nullptr,
+    &reserve);
+  const tcp::endpoint to(boost::asio::ip::make_address("127.0.0.1"),
+                         listener->Port());
+  tcp::socket idle(context);
+  tcp::socket serving(context);
+  idle.connect(to);
+  serving.connect(to);
+  boost::asio::write(serving, boost::asio::buffer(kGet));
+  context.run_for(std::chrono::milliseconds(20));
+  REQUIRE(listener->OpenConnections() == 2);
+  REQUIRE(requests == 1);
+  CHECK_FALSE(reserve.MakeRoom());
+  context.restart();
+  context.run_for(std::chrono::milliseconds(200));
+  CHECK(reserve.MakeRoom());
+  CHECK_FALSE(reserve.MakeRoom());
+  CHECK(listener->OpenConnections() == 1);
+  CHECK(listener->OpenExchanges() == 1);
+}
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -67,9 +67,12 @@
 class ConnectionPerCall : public OutboundClient
 {
 public:
-  ConnectionPerCall(boost::asio::io_context& aContext, Timers& aTimers)
+  ConnectionPerCall(boost::asio::io_context& aContext,
+                    Timers& aTimers,
+                    DescriptorReserve* aReserve)
     : context_(aContext)
     , timers_(aTimers)
+    , reserve_(aReserve)
   {
   }
 
@@ -89,12 +92,14 @@
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(aCall.to.address, error);
     if (!error) {
-      pending.socket.open(tcp::v4(), error);
+      OpenSocket(pending.socket, error);
     }
     if (error) {
       const std::string why = error.message();
+      const CallOutcome outcome =
+        IsShortage(error) ? CallOutcome::NotStarted : CallOutcome::NotSent;
       timers_.After(Duration::zero(),
-                    [this, id, why] { End(id, CallOutcome::NotSent, why); });
+                    [this, id, outcome, why] { End(id, outcome, why); });
       return id;
     }
     PrepareSocket(pending.socket);
@@ -133,12 +138,17 @@
     const CallId id = ++lastId_;
     PendingProbe& probe = probes_.try_emplace(id, context_).first->second;
     probe.report = std::move(aReport);
-    probe.timer = timers_.After(
-      aTimeout, [this, id] { EndProbe(id, Reachability::Unreachable); });
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(aPeer.address, error);
+    if (!error) {
+      OpenSocket(probe.socket, error);
+    }
+    const Reachability atTimeout =
+      IsShortage(error) ? Reachability::Untried : Reachability::Unreachable;
+    probe.timer = timers_.After(
+      aTimeout, [this, id, atTimeout] { EndProbe(id, atTimeout); });
     if (error) {
-      return; // reported as unreachable at the timeout
+      return; // reported at the timeout, as it may be tried again at once
     }
     probe.socket.async_connect(
       tcp::endpoint(address, aPeer.port),
@@ -158,6 +168,14 @@
   std::size_t Open() const override { return calls_.size(); }
 
 private:
+  void OpenSocket(tcp::socket& aSocket, boost::system::error_code& aError)
+  {
+    aSocket.open(tcp::v4(), aError);
+    if (IsShortage(aError) && reserve_ && reserve_->MakeRoom()) {
+      aSocket.open(tcp::v4(), aError);
+    }
+  }
+
   PendingCall* Find(CallId aCall)
   {
     const auto pending = calls_.find(aCall);
@@ -172,7 +190,9 @@
     }
     timers_.Cancel(pending->connectTimer);
     if (aError) {
-      End(aCall, CallOutcome::NotSent, aError.message());
+      End(aCall,
+          IsShortage(aError) ? CallOutcome::NotStarted : CallOutcome::NotSent,
+          aError.message());
       return;
     }
     pending->connected = true;
@@ -374,7 +394,8 @@
                        PendingCall& aPending,
                        Reachability aReachability)
   {
-    if (aReachability == Reachability::Accepts) {
+    if (aReachability == Reachability::Accepts ||
+        aReachability == Reachability::Untried) {
       StartSilenceTimer(aSilent.call, aPending, aSilent.wait * 2);
     } else if (aReachability == Reachability::Refuses) {
       End(aSilent.call,
@@ -437,6 +458,7 @@
 
   boost::asio::io_context& context_;
   Timers& timers_;
+  DescriptorReserve* reserve_;
   std::unordered_map<CallId, PendingCall> calls_;
   std::unordered_map<CallId, PendingProbe> probes_;
   std::map<PeerKey, TimePoint> lastActivity_;
@@ -447,9 +469,11 @@
 } // namespace
 
 std::unique_ptr<OutboundClient>
-MakeOutboundClient(boost::asio::io_context& aContext, Timers& aTimers)
+MakeOutboundClient(boost::asio::io_context& aContext,
+                   Timers& aTimers,
+                   DescriptorReserve* aReserve)
 {
-  return std::make_unique<ConnectionPerCall>(aContext, aTimers);
+  return std::make_unique<ConnectionPerCall>(aContext, aTimers, aReserve);
 }
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/store/mirror_server.cpp
+++ b/src/hibiscusnotch/store/mirror_server.cpp
@@ -16,7 +16,8 @@
 public:
   HttpMirrorServer(boost::asio::io_context& aContext,
                    relay::Timers& aTimers,
-                   core::Endpoint aEndpoint)
+                   core::Endpoint aEndpoint,
+                   relay::DescriptorReserve* aReserve)
     : responder_(
         aTimers,
         [this](MirrorQueryId aId, int aStatus, const std::string& aBody) {
@@ -33,7 +34,9 @@
          responder_.OnQuery(aId, aRequest.target);
        },
         [this](ExchangeId aId) { responder_.Forget(aId); },
-        [](ExchangeId) {} });
+        [](ExchangeId) {} },
+      nullptr,
+      aReserve);
   }
 
   Mirror& MirrorOf(const std::string& aKind) override
@@ -75,10 +78,11 @@
 std::unique_ptr<MirrorServer>
 MakeMirrorServer(boost::asio::io_context& aContext,
                  relay::Timers& aTimers,
-                 core::Endpoint aEndpoint)
+                 core::Endpoint aEndpoint,
+                 relay::DescriptorReserve* aReserve)
 {
   return std::make_unique<HttpMirrorServer>(
-    aContext, aTimers, std::move(aEndpoint));
+    aContext, aTimers, std::move(aEndpoint), aReserve);
 }
 
 } // namespace hibiscusnotch::store
