Serve also while another process holds the port for metrics

Callers saw: an instance that did not start. It ended with exit code 1 after five seconds, at each start, while another process on its address held port 9464, which is the only port that is not drawn for each deployment.

Cause: the metrics listener was bound like the others, with a wait and then an exception.

Evidence, before: "an instance serves without its port for metrics" REQUIRE( instance.Process().AwaitService() ): false After: passes; E109 is logged, and E110 once the port is free.

Why it works: the port is tried without a wait at the start and again every two seconds; an instance serves its callers without it.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -19,6 +19,8 @@
   Readiness = 105,
   DescriptorsUsedUp = 107,
   DescriptorsRegained = 108,
+  MetricsUnavailable = 109,
+  MetricsAvailable = 110,
   ConfigurationApplied = 200,
   ConfigurationUnreadable = 201,
   ConfigurationAccepted = 202,
--- a/include/hibiscusnotch/relay/bind.hpp
+++ b/include/hibiscusnotch/relay/bind.hpp
@@ -10,18 +10,21 @@
 
 namespace hibiscusnotch::relay {
 
+/// @brief How long to wait for an address that a former process holds.
+inline constexpr std::chrono::microseconds kMaxBindWait{ 5'000'000 };
+
 /// @brief Binds the open socket; blocks while the address is in use, as a
-/// former process may take a moment to end, and for five seconds at most.
+/// former process may take a moment to end, for the given time at most.
 ///
 /// Throws boost::system::system_error, which names the address.
 template<class Socket>
 void
 BindWhenFree(Socket& aSocket,
-             const typename Socket::protocol_type::endpoint& aEndpoint)
+             const typename Socket::protocol_type::endpoint& aEndpoint,
+             std::chrono::microseconds aMaxWait = kMaxBindWait)
 {
-  constexpr std::chrono::seconds kMaxWait{ 5 };
   constexpr std::chrono::milliseconds kRetryInterval{ 20 };
-  const auto end = std::chrono::steady_clock::now() + kMaxWait;
+  const auto end = std::chrono::steady_clock::now() + aMaxWait;
   boost::system::error_code error;
   while (aSocket.bind(aEndpoint, error) &&
          error == boost::asio::error::address_in_use &&
--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "hibiscusnotch/core/settings.hpp"
+#include "hibiscusnotch/relay/bind.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
 #include "hibiscusnotch/relay/descriptor_reserve.hpp"
 #include "hibiscusnotch/relay/http_reader.hpp"
@@ -27,6 +28,8 @@
   /// @brief Its connections are served also from the descriptors that are held
   /// back: for few short exchanges, such as readiness checks.
   bool usesReserve = false;
+  /// @brief How long to wait, blocking, for the endpoint to be free.
+  Duration bindTimeout = kMaxBindWait;
 };
 
 struct ListenerObserver
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/system/system_error.hpp>
 #include <sys/resource.h>
+#include <utility>
 #include <vector>
 
 namespace hibiscusnotch::entry {
@@ -29,6 +31,8 @@
 // more seconds to react.
 constexpr Duration kMaxConfigurationAge{ 2'600'000 };
 constexpr Duration kGaugeInterval{ 2'000'000 };
+// While another process holds the port for metrics.
+constexpr Duration kMetricsRetryInterval{ 2'000'000 };
 // Seeds that start together with this instance need a moment to read the store.
 constexpr std::size_t kMaxBootstrapSeedAttempts = 10;
 constexpr std::size_t kMaxSeedAttempts = 2;
@@ -81,7 +85,8 @@
   Node(boost::asio::io_context& aContext,
        EntryNodeOptions aOptions,
        const EntryNodeDependencies& aDependencies)
-    : options_(std::move(aOptions))
+    : context_(aContext)
+    , options_(std::move(aOptions))
     , timers_(relay::MakeTimers(aContext, relay::BootClock()))
     , log_(*timers_, EventLogOptionsFor(options_.instanceName))
     , reserve_(*timers_, DescriptorObserver())
@@ -128,13 +133,6 @@
                             ReadinessObserver(),
                             nullptr,
                             &reserve_))
-    , metricsListener_(
-        relay::MakeListener(aContext,
-                            *timers_,
-                            ListenerOptionsFor(options_.metricsEndpoint),
-                            MetricsObserver(),
-                            nullptr,
-                            &reserve_))
     , mirrors_(store::MakeMirrorServer(aContext,
                                        *timers_,
                                        options_.peerEndpoint,
@@ -171,6 +169,7 @@
                  " callers=" + options_.callerEndpoint.address + ':' +
                  std::to_string(options_.callerEndpoint.port));
     UpdateGauges();
+    ListenForMetrics();
     reserve_.Refill();
   }
 
@@ -290,6 +289,30 @@
              [](relay::ExchangeId) {} };
   }
 
+  /// Serves metrics once their port is free. An instance serves its callers
+  /// also without them.
+  void ListenForMetrics()
+  {
+    relay::ListenerOptions options =
+      ListenerOptionsFor(options_.metricsEndpoint);
+    options.bindTimeout = Duration::zero();
+    try {
+      metricsListener_ = relay::MakeListener(
+        context_, *timers_, options, MetricsObserver(), nullptr, &reserve_);
+    } catch (const boost::system::system_error& aError) {
+      if (!std::exchange(metricsUnavailable_, true)) {
+        log_.Write(EventNumber::MetricsUnavailable,
+                   std::string("why=\"") + aError.what() + '"');
+      }
+      timers_->After(kMetricsRetryInterval, [this] { ListenForMetrics(); });
+      return;
+    }
+    if (std::exchange(metricsUnavailable_, false)) {
+      log_.Write(EventNumber::MetricsAvailable,
+                 "port=" + std::to_string(metricsListener_->Port()));
+    }
+  }
+
   static void SendResponse(relay::Listener& aListener,
                            relay::ExchangeId aId,
                            int aStatus,
@@ -399,6 +422,7 @@
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
 
+  boost::asio::io_context& context_;
   EntryNodeOptions options_;
   FleetState fleet_;
   std::unique_ptr<relay::Timers> timers_;
@@ -421,6 +445,7 @@
   std::unique_ptr<RolloutWriter> rolloutWriter_;
   std::optional<TimePoint> drainStarted_;
   bool lastReady_ = false;
+  bool metricsUnavailable_ = false;
   std::size_t seedAttempts_ = 0;
 };
 
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -1,6 +1,5 @@
 #include "hibiscusnotch/relay/listener.hpp"
 
-#include "hibiscusnotch/relay/bind.hpp"
 #include "socket_io.hpp"
 
 #include <array>
@@ -126,7 +125,7 @@
       options_.endpoint.port);
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(boost::asio::socket_base::reuse_address(true));
-    BindWhenFree(acceptor_, endpoint);
+    BindWhenFree(acceptor_, endpoint, options_.bindTimeout);
     acceptor_.listen(boost::asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
     if (reserve_) {
