Wait for an address that is not there yet

Callers saw: an instance that ended at once when it was started before its machine had the address ("Cannot assign requested address").

Cause: the bounded wait for an address was for "in use" alone.

Evidence, before: "an address that is not there yet is waited for and then named" CHECK_FALSE( instance.Process().Status() ) after 2 s: it had ended After: passes; the process waits for five seconds and ends.

Why it works: both errors are temporary by nature and are waited for alike, with the same bound.

--- a/include/hibiscusnotch/relay/bind.hpp
+++ b/include/hibiscusnotch/relay/bind.hpp
@@ -10,11 +10,20 @@
 
 namespace hibiscusnotch::relay {
 
-/// @brief How long to wait for an address that a former process holds.
+/// @brief How long to wait for an address that a former process holds, or that
+/// the machine does not have yet.
 inline constexpr std::chrono::microseconds kMaxBindWait{ 5'000'000 };
 
-/// @brief Binds the open socket; blocks while the address is in use, as a
-/// former process may take a moment to end, for the given time at most.
+/// @brief True if the address may become free without a change of settings.
+inline bool
+IsTemporary(const boost::system::error_code& aError)
+{
+  return aError == boost::asio::error::address_in_use ||
+         aError == boost::system::errc::address_not_available;
+}
+
+/// @brief Binds the open socket; blocks while the address is in use or not
+/// there yet, for the given time at most.
 ///
 /// Throws boost::system::system_error, which names the address.
 template<class Socket>
@@ -26,8 +35,7 @@
   constexpr std::chrono::milliseconds kRetryInterval{ 20 };
   const auto end = std::chrono::steady_clock::now() + aMaxWait;
   boost::system::error_code error;
-  while (aSocket.bind(aEndpoint, error) &&
-         error == boost::asio::error::address_in_use &&
+  while (aSocket.bind(aEndpoint, error) && IsTemporary(error) &&
          std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kRetryInterval);
   }
