--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -17,6 +17,7 @@
   SettingsReloaded = 103,
   LinesDropped = 104,
   Readiness = 105,
+  InstanceFailed = 106,
   DescriptorsUsedUp = 107,
   DescriptorsRegained = 108,
   MetricsUnavailable = 109,
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -15,6 +15,7 @@
   EventDescription{ SettingsReloaded, LogLevel::Info, "settings_reloaded" },
   EventDescription{ LinesDropped, LogLevel::Warning, "lines_dropped" },
   EventDescription{ Readiness, LogLevel::Info, "readiness" },
+  EventDescription{ InstanceFailed, LogLevel::Error, "instance_failed" },
   EventDescription{ DescriptorsUsedUp,
                     LogLevel::Warning,
                     "descriptors_used_up" },
