State the end of a shortage only once a descriptor is free

Operators would see E108 while idle callers still hold all descriptors, and E107 again at the next connection: two seconds without a failed attempt were taken for the end, also if nobody had tried. The process test that counts one line each could fail for the same reason.

Evidence: "a shortage lasts while no descriptor is free", before: CHECK( fixture.ended.empty() ): false After: passes, with the 56 other tests of the module.

Why it works: the end is stated once a descriptor can be opened beside those that are held back.

--- a/src/hibiscusnotch/relay/descriptor_reserve.cpp
+++ b/src/hibiscusnotch/relay/descriptor_reserve.cpp
@@ -16,6 +16,19 @@
 // A shortage has ended once connections have been opened for this long.
 constexpr Duration kRegainedAfter{ 2'000'000 };
 
+int
+OpenDescriptor()
+{
+  return open("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
+bool
+HasFreeDescriptor()
+{
+  const int descriptor = OpenDescriptor();
+  return descriptor >= 0 && close(descriptor) == 0;
+}
+
 } // namespace
 
 bool
@@ -81,7 +94,7 @@
 DescriptorReserve::Refill()
 {
   while (held_.size() < kHeldDescriptors) {
-    const int descriptor = open("/dev/null", O_RDONLY | O_CLOEXEC);
+    const int descriptor = OpenDescriptor();
     if (descriptor < 0) {
       return;
     }
@@ -114,7 +127,8 @@
 {
   Refill();
   const TimePoint end = lastFailureAt_ + kRegainedAfter;
-  if (timers_.Now() < end || held_.size() < kHeldDescriptors) {
+  if (timers_.Now() < end || held_.size() < kHeldDescriptors ||
+      !HasFreeDescriptor()) {
     endTimer_ = timers_.At(std::max(end, timers_.Now() + kRegainedAfter),
                            [this] { EndShortage(); });
     return;
--- a/src/hibiscusnotch/relay/descriptor_reserve_test.cpp
+++ b/src/hibiscusnotch/relay/descriptor_reserve_test.cpp
@@ -3,6 +3,7 @@
 #include "hibiscusnotch/testing/manual_timers.hpp"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 #include <vector>
 
 using namespace hibiscusnotch::relay;
@@ -64,6 +65,23 @@
   CHECK(fixture.ended[0].closedIdle == 2);
 }
 
+// Guards against a line that states an end, as nobody tried for a while.
+TEST_CASE("a shortage lasts while no descriptor is free")
+{
+  Fixture fixture;
+  fixture.reserve.Refill();
+  fixture.reserve.MakeRoom();
+  rlimit former{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &former) == 0);
+  const rlimit none{ 0, former.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &none);
+  fixture.timers.Advance(10 * kSecond);
+  setrlimit(RLIMIT_NOFILE, &former);
+  CHECK(fixture.ended.empty());
+  fixture.timers.Advance(5 * kSecond);
+  CHECK(fixture.ended.size() == 1);
+}
+
 // Guards against readiness checks that take what refusals need.
 TEST_CASE("the last held descriptor is kept for refusals")
 {
