--- a/include/hibiscusnotch/relay/bind.hpp
+++ b/include/hibiscusnotch/relay/bind.hpp
@@ -10,21 +10,32 @@
 
 namespace hibiscusnotch::relay {
 
-/// @brief Binds the open socket; blocks while the address is in use, as a
-/// former process may take a moment to end, and for five seconds at most.
+/// @brief How long to wait for an address that a former process holds, or that
+/// the machine does not have yet.
+inline constexpr std::chrono::microseconds kMaxBindWait{ 5'000'000 };
+
+/// @brief True if the address may become free without a change of settings.
+inline bool
+IsTemporary(const boost::system::error_code& aError)
+{
+  return aError == boost::asio::error::address_in_use ||
+         aError == boost::system::errc::address_not_available;
+}
+
+/// @brief Binds the open socket; blocks while the address is in use or not
+/// there yet, for the given time at most.
 ///
 /// Throws boost::system::system_error, which names the address.
 template<class Socket>
 void
 BindWhenFree(Socket& aSocket,
-             const typename Socket::protocol_type::endpoint& aEndpoint)
+             const typename Socket::protocol_type::endpoint& aEndpoint,
+             std::chrono::microseconds aMaxWait = kMaxBindWait)
 {
-  constexpr std::chrono::seconds kMaxWait{ 5 };
   constexpr std::chrono::milliseconds kRetryInterval{ 20 };
-  const auto end = std::chrono::steady_clock::now() + kMaxWait;
+  const auto end = std::chrono::steady_clock::now() + aMaxWait;
   boost::system::error_code error;
-  while (aSocket.bind(aEndpoint, error) &&
-         error == boost::asio::error::address_in_use &&
+  while (aSocket.bind(aEndpoint, error) && IsTemporary(error) &&
          std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kRetryInterval);
   }
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -7,6 +7,9 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/system/system_error.hpp>
+#include <sys/resource.h>
+#include <utility>
 #include <vector>
 
 namespace hibiscusnotch::entry {
@@ -28,6 +31,8 @@
 // more seconds to react.
 constexpr Duration kMaxConfigurationAge{ 2'600'000 };
 constexpr Duration kGaugeInterval{ 2'000'000 };
+// While another process holds the port for metrics.
+constexpr Duration kMetricsRetryInterval{ 2'000'000 };
 // Seeds that start together with this instance need a moment to read the store.
 constexpr std::size_t kMaxBootstrapSeedAttempts = 10;
 constexpr std::size_t kMaxSeedAttempts = 2;
@@ -40,6 +45,14 @@
   return options;
 }
 
+relay::ListenerOptions
+ReadinessOptionsFor(const core::Endpoint& aEndpoint)
+{
+  relay::ListenerOptions options = ListenerOptionsFor(aEndpoint);
+  options.usesReserve = true;
+  return options;
+}
+
 EventLogOptions
 EventLogOptionsFor(const std::string& aSource)
 {
@@ -72,12 +85,14 @@
   Node(boost::asio::io_context& aContext,
        EntryNodeOptions aOptions,
        const EntryNodeDependencies& aDependencies)
-    : options_(std::move(aOptions))
+    : context_(aContext)
+    , options_(std::move(aOptions))
     , timers_(relay::MakeTimers(aContext, relay::BootClock()))
-    , client_(relay::MakeOutboundClient(aContext, *timers_))
+    , log_(*timers_, EventLogOptionsFor(options_.instanceName))
+    , reserve_(*timers_, DescriptorObserver())
+    , client_(relay::MakeOutboundClient(aContext, *timers_, &reserve_))
     , storeClient_(aDependencies.makeStore(*client_, *timers_))
     , metrics_(observe::MakeMetrics())
-    , log_(*timers_, EventLogOptionsFor(options_.instanceName))
     , store_(store::MakeLossDetectingStore(*storeClient_,
                                            *timers_,
                                            {},
@@ -101,26 +116,27 @@
                             *timers_,
                             ListenerOptionsFor(options_.callerEndpoint),
                             RequestObserver(RequestOrigin::Caller),
-                            &unsentBudget_))
+                            &unsentBudget_,
+                            &reserve_))
     , forwardListener_(relay::MakeListener(
         aContext,
         *timers_,
         ListenerOptionsFor(
           InstanceInfo{ options_.peerEndpoint, {}, 0 }.ForwardEndpoint()),
         RequestObserver(RequestOrigin::Instance),
-        &unsentBudget_))
+        &unsentBudget_,
+        &reserve_))
     , readinessListener_(
         relay::MakeListener(aContext,
                             *timers_,
-                            ListenerOptionsFor(options_.readinessEndpoint),
-                            ReadinessObserver()))
-    , metricsListener_(
-        relay::MakeListener(aContext,
-                            *timers_,
-                            ListenerOptionsFor(options_.metricsEndpoint),
-                            MetricsObserver()))
-    , mirrors_(
-        store::MakeMirrorServer(aContext, *timers_, options_.peerEndpoint))
+                            ReadinessOptionsFor(options_.readinessEndpoint),
+                            ReadinessObserver(),
+                            nullptr,
+                            &reserve_))
+    , mirrors_(store::MakeMirrorServer(aContext,
+                                       *timers_,
+                                       options_.peerEndpoint,
+                                       &reserve_))
     , mirroredStore_(store::MakeMirroredStore(
         *store_,
         *client_,
@@ -153,6 +169,8 @@
                  " callers=" + options_.callerEndpoint.address + ':' +
                  std::to_string(options_.callerEndpoint.port));
     UpdateGauges();
+    ListenForMetrics();
+    reserve_.Refill();
   }
 
   void Drain(const std::function<void()>& aDone) override
@@ -193,6 +211,23 @@
              } };
   }
 
+  relay::ShortageObserver DescriptorObserver()
+  {
+    return { [this] {
+              rlimit limit{};
+              getrlimit(RLIMIT_NOFILE, &limit);
+              log_.Write(EventNumber::DescriptorsUsedUp,
+                         "limit=" + std::to_string(limit.rlim_cur));
+            },
+             [this](const relay::Shortage& aShortage) {
+               log_.Write(
+                 EventNumber::DescriptorsRegained,
+                 "after_ms=" + std::to_string(aShortage.lasted.count() / 1000) +
+                   " closed_idle=" + std::to_string(aShortage.closedIdle) +
+                   " refused=" + std::to_string(aShortage.refused));
+             } };
+  }
+
   store::LossDetectionObserver LossObserver()
   {
     return { [this](const std::string& aKind,
@@ -254,6 +289,30 @@
              [](relay::ExchangeId) {} };
   }
 
+  /// Serves metrics once their port is free. An instance serves its callers
+  /// also without them.
+  void ListenForMetrics()
+  {
+    relay::ListenerOptions options =
+      ListenerOptionsFor(options_.metricsEndpoint);
+    options.bindTimeout = Duration::zero();
+    try {
+      metricsListener_ = relay::MakeListener(
+        context_, *timers_, options, MetricsObserver(), nullptr, &reserve_);
+    } catch (const boost::system::system_error& aError) {
+      if (!std::exchange(metricsUnavailable_, true)) {
+        log_.Write(EventNumber::MetricsUnavailable,
+                   std::string("why=\"") + aError.what() + '"');
+      }
+      timers_->After(kMetricsRetryInterval, [this] { ListenForMetrics(); });
+      return;
+    }
+    if (std::exchange(metricsUnavailable_, false)) {
+      log_.Write(EventNumber::MetricsAvailable,
+                 "port=" + std::to_string(metricsListener_->Port()));
+    }
+  }
+
   static void SendResponse(relay::Listener& aListener,
                            relay::ExchangeId aId,
                            int aStatus,
@@ -352,6 +411,8 @@
                   static_cast<double>(unsentBudget_.HeldBytes()));
     metrics_->RaiseTo(observe::Counter::SlowReadersEnded,
                       unsentBudget_.EndedCount());
+    metrics_->RaiseTo(observe::Counter::DescriptorShortages,
+                      reserve_.ShortageCount());
     metrics_->RaiseTo(observe::Counter::PlatformCalls, store_->CallCount());
     metrics_->RaiseTo(
       observe::Counter::ExpectedCachedTokens,
@@ -361,13 +422,15 @@
     timers_->After(kGaugeInterval, [this] { UpdateGauges(); });
   }
 
+  boost::asio::io_context& context_;
   EntryNodeOptions options_;
   FleetState fleet_;
   std::unique_ptr<relay::Timers> timers_;
+  EventLog log_;
+  relay::DescriptorReserve reserve_;
   std::unique_ptr<relay::OutboundClient> client_;
   std::unique_ptr<store::ObjectStore> storeClient_;
   std::unique_ptr<observe::Metrics> metrics_;
-  EventLog log_;
   std::unique_ptr<store::ObjectStore> store_;
   std::unique_ptr<RequestRouter> router_;
   relay::UnsentBudget unsentBudget_;
@@ -382,6 +445,7 @@
   std::unique_ptr<RolloutWriter> rolloutWriter_;
   std::optional<TimePoint> drainStarted_;
   bool lastReady_ = false;
+  bool metricsUnavailable_ = false;
   std::size_t seedAttempts_ = 0;
 };
 
