Break a stream off that cannot be told where to go on

What callers saw: events of a stream twice, if its events have no ids (or an empty one, or none since the last id) and an attempt is lost.

Cause: the resumed attempt names the last id. Events that came after it, or all if there was none, are sent again, and the check of rising ids has no id to compare.

Why it works: the splitter knows whether an event with data has passed since the last id; such a stream is aborted, which callers notice, instead of resumed. Comments, which keep a connection open, do not count.

--- a/include/hibiscusnotch/relay/event_splitter.hpp
+++ b/include/hibiscusnotch/relay/event_splitter.hpp
@@ -30,6 +30,9 @@
 
   /// @brief The id of the last complete event; empty if there was none.
   const std::string& LastId() const { return lastId_; }
+  /// @brief True if a source that goes on after `LastId` repeats no event: none
+  /// without an id has been passed on since.
+  bool IsResumable() const { return !passedWithoutId_; }
   /// @brief True while an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
   /// @brief Drops what is held back, before another source resumes the stream.
@@ -51,6 +54,7 @@
   std::string lastId_;
   std::size_t events_ = 0;
   bool outOfOrder_ = false;
+  bool passedWithoutId_ = false;
 };
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/entry/request_admission.cpp
+++ b/src/hibiscusnotch/entry/request_admission.cpp
@@ -105,6 +105,7 @@
 {
   const routing::Route& route = aExchange.route;
   return (!aExchange.mayHaveExecuted || route.RetrySafe()) &&
+         (!aExchange.responseStarted || aExchange.events.IsResumable()) &&
          aExchange.executions < route.maxAttempts &&
          aExchange.sends < route.maxAttempts + kMaxExtraSends &&
          aExchange.deadline - aNow >= kMinRemainingTime;
--- a/src/hibiscusnotch/entry/request_admission.hpp
+++ b/src/hibiscusnotch/entry/request_admission.hpp
@@ -41,7 +41,7 @@
               TimePoint aNow);
 
 /// @brief True if the request may be sent once more, by its executions, sends
-/// and time left.
+/// and time left, and by the part of a response that its caller has.
 bool
 MayRetry(const Exchange& aExchange, TimePoint aNow);
 
--- a/src/hibiscusnotch/relay/event_splitter.cpp
+++ b/src/hibiscusnotch/relay/event_splitter.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+// Without it a block is a comment, which keeps a connection open.
+constexpr std::string_view kDataField = "data";
 
 // An event ends with two line ends, of which the second has two bytes at most.
 constexpr std::size_t kMaxSplitEnd = 2;
@@ -77,6 +79,7 @@
 EventSplitter::AcceptEvent(std::string_view aEvent)
 {
   std::optional<std::string_view> id;
+  bool hasData = false;
   std::size_t start = 0;
   while (start < aEvent.size()) {
     const std::size_t end = aEvent.find('\n', start);
@@ -90,16 +93,21 @@
         line.remove_suffix(1);
       }
       id = line;
+    } else if (line.starts_with(kDataField)) {
+      hasData = true;
     }
     start = end == std::string_view::npos ? aEvent.size() : end + 1;
   }
-  if (id) {
+  if (id && !id->empty()) {
     const auto number = ParseNumber(*id);
     const auto last = ParseNumber(lastId_);
     if (number && last && *number <= *last) {
       return false;
     }
     lastId_ = std::string(*id);
+    passedWithoutId_ = false;
+  } else if (hasData) {
+    passedWithoutId_ = true;
   }
   ++events_;
   return true;
--- a/src/hibiscusnotch/relay/event_splitter_test.cpp
+++ b/src/hibiscusnotch/relay/event_splitter_test.cpp
@@ -102,3 +102,23 @@
   CHECK(splitter.Feed("id: 1\ndata: a\n\n").empty());
   CHECK(splitter.IsOutOfOrder());
 }
+
+TEST_CASE("a stream may go on only after an event with an id")
+{
+  // Guards against a source that repeats events, as it cannot be told of them.
+  EventSplitter splitter;
+  CHECK(splitter.IsResumable());
+  splitter.Feed(": keeps the connection open\n\n");
+  CHECK(splitter.IsResumable());
+  splitter.Feed("data: a\n\n");
+  CHECK_FALSE(splitter.IsResumable());
+  splitter.Feed("id: 1\ndata: b\n\n");
+  CHECK(splitter.IsResumable());
+  splitter.Feed("id:\ndata: c\n\n");
+  CHECK_FALSE(splitter.IsResumable());
+  CHECK(splitter.LastId() == "1");
+  splitter.Feed("data: d\n\nid: 2\nda");
+  CHECK_FALSE(splitter.IsResumable());
+  splitter.Feed("ta: e\n\n");
+  CHECK(splitter.IsResumable());
+}
