Cut links of single instances in the soak

The soak's proxies stand before upstreams and cut all instances alike, so no request ever went through another instance.

--- a/Makefile
+++ b/Makefile
@@ -27,10 +27,13 @@
 INSTANCES ?= 6
 UPSTREAMS ?= 8
 CALLERS ?= 24
+EVENTS ?= 12
+# --links for cuts between one instance and upstreams that others reach.
+LINKS ?=
 soak: build
 	@$(BUILD)/hibiscusnotch_soak --binary $(BUILD)/hibiscusnotch \
 	  --seed $(SEED) --seconds $(SECONDS) --instances $(INSTANCES) \
-	  --upstreams $(UPSTREAMS) --callers $(CALLERS)
+	  --upstreams $(UPSTREAMS) --callers $(CALLERS) --events $(EVENTS) $(LINKS)
 
 demo: build
 	@$(BUILD)/hibiscusnotch demo
