Go on with a stream's model through another instance

What callers got: an answer that one model begins and another one ends. On a cascade route an instance whose links are cut sends a stream that it has begun through another instance, which starts the cascade anew: with the smallest model, and a poor answer is dropped for a larger one although the caller has part of it.

Evidence: on the former code a stream that the large model began (the small one's answer had been dropped) was resumed directly with model=large, and over the hop with model=small.

Why it works: a forwarded request names the model of the answer that the caller has part of (Forwarded-Model, set by instances alone). The other instance goes on with it and drops no answer for its confidence. An instance of the former code ignores the field. A stream that began over a hop still goes on with the model that the next instance chooses, as the first does not know it.

--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -40,6 +40,8 @@
   std::string session;
   /// @brief Executions at upstreams before another instance forwarded it.
   uint32_t forwardedExecutions = 0;
+  /// @brief The model that another instance has settled on; empty if none.
+  std::string forwardedModel;
 };
 
 /// @brief Metadata that an attempt adds for the upstream.
@@ -59,6 +61,7 @@
   Duration timeLeft{ 0 };
   std::string resumeAfter; ///< In place of the caller's; may be empty.
   uint32_t executions = 0; ///< So far; they count among the route's attempts.
+  std::string model;       ///< Of the answer to go on with; may be empty.
 };
 
 /// @brief Metadata of an upstream's response.
--- a/src/hibiscusnotch/entry/cut_off_test.cpp
+++ b/src/hibiscusnotch/entry/cut_off_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace hibiscusnotch;
 using hibiscusnotch::testing::CutKind;
+using hibiscusnotch::testing::FakeOutboundClient;
 using hibiscusnotch::testing::Idle;
 using hibiscusnotch::testing::IsServed;
 using hibiscusnotch::testing::RouterFleet;
@@ -263,6 +264,88 @@
   CHECK(fixture.Response().body == "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
 }
 
+// Guards against an answer that one model begins and another one ends: the hop
+// goes on with the model that the caller has part of, poor or not.
+TEST_CASE("a stream goes on through another instance with its model")
+{
+  ForwardFixture fixture;
+  for (RouterFleet::Instance& instance : fixture.fleet.instances) {
+    routing::Configuration configuration = *instance.fleet->configuration;
+    for (routing::Route& route : configuration.routes) {
+      route.models = { "small", "large" };
+    }
+    configuration.BuildRouteIndex();
+    instance.fleet->configuration =
+      std::make_shared<routing::Configuration>(configuration);
+  }
+  for (const std::string model : { "small", "large" }) {
+    CAPTURE(model);
+    RouterFleet::Instance& other = fixture.fleet.instances[1];
+    const std::size_t before = other.client.sent.size();
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/stream/x";
+    request.headers = { { "id", "r" },         { "host", "h" },
+                        { "left", "8000" },    { "after", "1" },
+                        { "executions", "1" }, { "settled-model", model } };
+    const relay::ExchangeId id = 900 + before;
+    other.router->OnRequest(entry::RequestOrigin::Instance, id, request);
+    REQUIRE(other.client.sent.size() == before + 1);
+    CHECK(Contains(other.client.sent[before].call.message,
+                   " model=" + model + ' '));
+    relay::ResponseHead head;
+    head.status = 200;
+    head.headers = { { "id", "r" }, { "seal", "s" }, { "confidence", "2" } };
+    head.isSelfDelimited = true;
+    other.client.Head(before, head);
+    CHECK(other.client.sent.size() == before + 1);
+    other.client.Body(before, "id: 2\ndata: y\n\n");
+    CHECK(other.forwardListener.answers[id].body == "id: 2\ndata: y\n\n");
+  }
+}
+
+// Guards against the model that is lost on the way to the other instance.
+TEST_CASE("a hop names the model of a stream that began at an upstream")
+{
+  RouterFleet fleet({ 3, 6, 1 });
+  RouterFleet::Instance& instance = fleet.instances[0];
+  routing::Configuration configuration = *instance.fleet->configuration;
+  for (routing::Route& route : configuration.routes) {
+    route.models = { "small", "large" };
+  }
+  configuration.BuildRouteIndex();
+  instance.fleet->configuration =
+    std::make_shared<routing::Configuration>(configuration);
+  const relay::ExchangeId id = fleet.Request(0, "stream");
+  FakeOutboundClient& client = instance.client;
+  relay::ResponseHead head;
+  head.status = 200;
+  head.headers = { { "id", "r" + std::to_string(id) },
+                   { "seal", "s" },
+                   { "confidence", "2" } };
+  head.isSelfDelimited = true;
+  client.Head(0, head);
+  REQUIRE(client.sent.size() == 2);
+  REQUIRE(Contains(client.sent[1].call.message, "model=large"));
+  head.headers.back().second = "90";
+  client.Head(1, head);
+  client.Body(1, "id: 1\ndata: x\n\n");
+  fleet.cutOff[0] = CutKind::Refuse;
+  client.End(1, relay::CallOutcome::ConnectionLost);
+  const auto hops = [&client] {
+    return std::ranges::count_if(client.sent, [](const auto& aSent) {
+      return aSent.call.to.address.front() == 'i' &&
+             Contains(aSent.call.message, "settled-model=large");
+    });
+  };
+  // The hop that is not reached takes nothing away from the next one.
+  for (int attempt = 0; attempt < 6 && hops() < 2; ++attempt) {
+    client.End(client.sent.size() - 1, relay::CallOutcome::NotSent);
+    fleet.timers.Advance(kSecond / 100);
+  }
+  CHECK(hops() == 2);
+}
+
 // Guards against the text of an error amid a caller's stream.
 TEST_CASE("an error response of the hop never gets into a stream")
 {
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -89,6 +89,10 @@
   bool paused = false;
   std::size_t modelIndex = 0; ///< Index into the route's models.
   bool isEscalated = false;   ///< A smaller model's answer was discarded.
+  /// Another instance has passed on part of this model's answer.
+  bool isModelSettled = false;
+  /// Of the answer that is forwarded; empty if another instance chose it.
+  std::string answeringModel;
   std::vector<core::UpstreamId> tried;
   std::vector<std::string> triedPeers; ///< Instances that it went through.
   std::optional<Attempt> attempt;
--- a/src/hibiscusnotch/entry/forward_call.cpp
+++ b/src/hibiscusnotch/entry/forward_call.cpp
@@ -36,6 +36,8 @@
   metadata.executions = aExchange.executions;
   if (aExchange.responseStarted) {
     metadata.resumeAfter = aExchange.events.LastId();
+    metadata.model =
+      aExchange.route.models.empty() ? "" : aExchange.answeringModel;
   }
   relay::OutboundCall call;
   call.to = aPeer.ForwardEndpoint();
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -196,7 +196,7 @@
     const Duration latencyTarget = aExchange.route.latencyTarget;
     aExchange.waitDeadline =
       timers_.Now() + std::min(latencyTarget / kWaitDivisor, kMaxWait);
-    aExchange.modelIndex = models_.FirstModel(aExchange);
+    SetFirstModel(aExchange);
     if (aExchange.route.executionSemantics == ExecutionSemantics::Stream &&
         aExchange.route.resumable) {
       aExchange.events.ResumeAfter(aExchange.metadata.resumeAfter);
@@ -206,6 +206,20 @@
     Dispatch(aExchange);
   }
 
+  void SetFirstModel(Exchange& aExchange)
+  {
+    const auto& models = aExchange.route.models;
+    const auto settled =
+      aExchange.key.origin == RequestOrigin::Instance
+        ? std::ranges::find(models, aExchange.metadata.forwardedModel)
+        : models.end();
+    aExchange.isModelSettled = settled != models.end();
+    aExchange.modelIndex =
+      aExchange.isModelSettled
+        ? static_cast<std::size_t>(std::distance(models.begin(), settled))
+        : models_.FirstModel(aExchange);
+  }
+
   /// Refuses the request and returns false if it may not be served.
   bool Admit(Exchange& aExchange)
   {
@@ -519,9 +533,12 @@
           planner_.AtUsualSpeed(attempt, timers_.Now() - attempt.sentAt));
       }
       if (!exchange.responseStarted && attempt.peer.empty() &&
-          Escalate(exchange)) {
+          !exchange.isModelSettled && Escalate(exchange)) {
         return;
       }
+      if (!exchange.responseStarted) {
+        exchange.answeringModel = attempt.model;
+      }
       exchange.lastModel = attempt.model;
       exchange.lastConfidence = attempt.metadata.confidence;
       attempt.accepted = true;
--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -27,6 +27,7 @@
       metadata.promptSegments.push_back({ part, 100 });
     }
     metadata.resumeAfter = std::string(aRequest.Header("after"));
+    metadata.forwardedModel = std::string(aRequest.Header("settled-model"));
     if (!aRequest.Header("executions").empty()) {
       metadata.forwardedExecutions = static_cast<uint32_t>(
         std::stoul(std::string(aRequest.Header("executions"))));
@@ -56,7 +57,7 @@
   {
     std::string message = aRequest.target;
     for (const auto& [name, value] : aRequest.headers) {
-      if (name != "left" && name != "executions" &&
+      if (name != "left" && name != "executions" && name != "settled-model" &&
           (name != "after" || aMetadata.resumeAfter.empty())) {
         message.append(" ").append(name).append("=").append(value);
       }
@@ -66,6 +67,9 @@
     if (!aMetadata.resumeAfter.empty()) {
       message += " after=" + aMetadata.resumeAfter;
     }
+    if (!aMetadata.model.empty()) {
+      message += " settled-model=" + aMetadata.model;
+    }
     return message;
   }
 
