--- a/src/hibiscusnotch/testing/fake_header_codec.hpp
+++ b/src/hibiscusnotch/testing/fake_header_codec.hpp
@@ -27,6 +27,7 @@
       metadata.promptSegments.push_back({ part, 100 });
     }
     metadata.resumeAfter = std::string(aRequest.Header("after"));
+    metadata.forwardedModel = std::string(aRequest.Header("settled-model"));
     if (!aRequest.Header("executions").empty()) {
       metadata.forwardedExecutions = static_cast<uint32_t>(
         std::stoul(std::string(aRequest.Header("executions"))));
@@ -43,8 +44,10 @@
     const entry::AttemptMetadata& aMetadata) const override
   {
     return aMetadata.upstream + " model=" + aMetadata.model +
-           " organisation=" + aMetadata.organisation +
-           " after=" + aMetadata.resumeAfter +
+           " organisation=" + aMetadata.organisation + " after=" +
+           (aMetadata.resumeAfter.empty()
+              ? std::string(aRequest.Header("after"))
+              : aMetadata.resumeAfter) +
            " left=" + std::to_string(aMetadata.timeLeft.count() / 1000) +
            " id=" + std::string(aRequest.Header("id"));
   }
@@ -54,7 +57,7 @@
   {
     std::string message = aRequest.target;
     for (const auto& [name, value] : aRequest.headers) {
-      if (name != "left" && name != "executions" &&
+      if (name != "left" && name != "executions" && name != "settled-model" &&
           (name != "after" || aMetadata.resumeAfter.empty())) {
         message.append(" ").append(name).append("=").append(value);
       }
@@ -64,6 +67,9 @@
     if (!aMetadata.resumeAfter.empty()) {
       message += " after=" + aMetadata.resumeAfter;
     }
+    if (!aMetadata.model.empty()) {
+      message += " settled-model=" + aMetadata.model;
+    }
     return message;
   }
 
