--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -920,13 +920,15 @@
   const auto start = std::chrono::steady_clock::now();
   std::optional<Reachability> seen;
   fixture.client->Probe(
-    { "127.255.255.255", 1 }, Duration{ 100'000 }, [&](Reachability aReachability) {
-      seen = aReachability;
-    });
+    { "127.255.255.255", 1 },
+    Duration{ 100'000 },
+    [&](Reachability aReachability) { seen = aReachability; });
   REQUIRE(fixture.RunUntil([&] { return seen.has_value(); }));
   CHECK(seen == Reachability::Unreachable);
   CHECK(std::chrono::steady_clock::now() - start >=
         std::chrono::milliseconds(90));
+}
+
 // Guards against an upstream that is blamed for the descriptors which this
 // process lacks.
 TEST_CASE("a call without a free descriptor is told from one that failed")
