--- a/src/hibiscusnotch/relay/bind_test.cpp
+++ b/src/hibiscusnotch/relay/bind_test.cpp
@@ -9,13 +9,11 @@
 
 namespace {
 
-/// Fails to bind a number of times.
-struct FakeSocket
+/// Fails a number of times.
+struct FakeBind
 {
-  using protocol_type = tcp;
-
-  boost::system::error_code bind(const tcp::endpoint& /*aEndpoint*/,
-                                 boost::system::error_code& aError)
+  boost::system::error_code operator()(const tcp::endpoint& /*aEndpoint*/,
+                                       boost::system::error_code& aError)
   {
     ++attempts;
     aError = failures > 0 ? failure : boost::system::error_code();
@@ -28,6 +26,13 @@
   int attempts = 0;
 };
 
+struct FakeSocket
+{
+  using protocol_type = tcp;
+
+  FakeBind bind;
+};
+
 const tcp::endpoint kEndpoint(boost::asio::ip::make_address("192.0.2.1"), 7100);
 
 boost::system::error_code
@@ -43,9 +48,9 @@
 {
   for (const auto code : { boost::system::errc::address_in_use,
                            boost::system::errc::address_not_available }) {
-    FakeSocket socket{ ErrorOf(code), 3 };
+    FakeSocket socket{ { ErrorOf(code), 3 } };
     BindWhenFree(socket, kEndpoint);
-    CHECK(socket.attempts == 4);
+    CHECK(socket.bind.attempts == 4);
   }
 }
 
@@ -60,13 +65,14 @@
     }
     return std::string();
   };
-  FakeSocket denied{ ErrorOf(boost::system::errc::permission_denied), 100 };
+  FakeSocket denied{ { ErrorOf(boost::system::errc::permission_denied), 100 } };
   CHECK(error(denied, 10s).find("192.0.2.1:7100") != std::string::npos);
-  CHECK(denied.attempts == 1);
-  FakeSocket absent{ ErrorOf(boost::system::errc::address_not_available), 100 };
+  CHECK(denied.bind.attempts == 1);
+  FakeSocket absent{ { ErrorOf(boost::system::errc::address_not_available),
+                       100 } };
   CHECK(error(absent, 50ms).find("192.0.2.1:7100") != std::string::npos);
-  CHECK(absent.attempts > 1);
-  FakeSocket held{ ErrorOf(boost::system::errc::address_in_use), 100 };
+  CHECK(absent.bind.attempts > 1);
+  FakeSocket held{ { ErrorOf(boost::system::errc::address_in_use), 100 } };
   CHECK(error(held, 0s).find("192.0.2.1:7100") != std::string::npos);
-  CHECK(held.attempts == 1);
+  CHECK(held.bind.attempts == 1);
 }
