--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -28,8 +28,8 @@
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 // What is not parsed yet; also limits a chunk's size line and trailers.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
-// A process that is killed closes its connections and its listening sockets
-// within this time, also on a busy processor.
+// A process that is killed closes its listening sockets soon after its
+// connections, later on a busy processor.
 constexpr std::chrono::milliseconds kExitTime{ 100 };
 // Of a response that is delivered as a whole.
 constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -15,8 +15,8 @@
 // A multiple of the round trip time within a region.
 constexpr Duration kProbeTimeout{ 200'000 };
 
-// A process that is killed closes its connections and its listening sockets
-// within this time, also on a busy processor.
+// Where nothing can be asked of a peer: a process that is killed closes its
+// listening sockets soon after its connections, later on a busy processor.
 constexpr Duration kExitTime{ 100'000 };
 
 // Between checks that did not show who is there.
@@ -48,8 +48,8 @@
   std::string in;
   std::unique_ptr<ResponseReader> reader;
   CallObserver observer;
-  TimerId connectTimer = 0;
-  TimerId silenceTimer = 0;
+  TimerId connectTimer = 0; ///< Later of the next liveness check.
+  TimerId silenceTimer = 0; ///< Later of the whole confirmation of the end.
   Duration probeAfterSilence{ 0 };
   Duration maxSilence{ 0 };
   core::Endpoint peer;
