--- a/review/standins-2/entry.hpp
+++ b/review/standins-2/entry.hpp
@@ -10,6 +10,27 @@
 
 namespace review {
 
+/// What has to be undone at the end of a case, the last first.
+inline std::vector<std::function<void()>>&
+Cleanups()
+{
+  static std::vector<std::function<void()>> sCleanups;
+  return sCleanups;
+}
+
+/// Ends the processes that the case has started, removes its folder, and ends
+/// the case without waiting for the threads of its stand-ins.
+[[noreturn]] inline void
+Finish(int aCode)
+{
+  auto& cleanups = Cleanups();
+  for (auto next = cleanups.rbegin(); next != cleanups.rend(); ++next) {
+    (*next)();
+  }
+  std::cout.flush();
+  std::_Exit(aCode);
+}
+
 /// A loopback address that no other run uses at the same time.
 inline std::string
 LoopbackIp(int aHost)
@@ -142,15 +163,14 @@
     , log_(aFolder + '/' + options_.name + ".log")
   {
     std::ofstream(settings_) << SettingsOf(options_).dump(2);
+    Cleanups().push_back([this] {
+      if (pid_ > 0) {
+        kill(pid_, SIGKILL);
+        waitpid(pid_, nullptr, 0);
+      }
+    });
     Start();
   }
-  ~Entry()
-  {
-    if (pid_ > 0) {
-      kill(pid_, SIGKILL);
-      waitpid(pid_, nullptr, 0);
-    }
-  }
   Entry(const Entry&) = delete;
   Entry& operator=(const Entry&) = delete;
 
@@ -241,12 +261,11 @@
     std::string pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     path_ = mkdtemp(pattern.data());
-  }
-  ~Folder()
-  {
-    if (!std::getenv("REVIEW_KEEP")) {
-      std::filesystem::remove_all(path_);
-    }
+    Cleanups().push_back([path = path_] {
+      if (!std::getenv("REVIEW_KEEP")) {
+        std::filesystem::remove_all(path);
+      }
+    });
   }
   const std::string& Path() const { return path_; }
 
@@ -260,7 +279,7 @@
 {
   if (!aCondition) {
     std::cerr << "could not run: " << aWhat << '\n';
-    std::exit(2);
+    Finish(2);
   }
 }
 
