--- a/review/standins-2/entry.hpp
+++ b/review/standins-2/entry.hpp
@@ -6,6 +6,7 @@
 #include "store.hpp"
 
 #include <filesystem>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -179,6 +180,7 @@
     const std::string program = Root() + "/target/hibiscusnotch";
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // also if the case is killed
       const int log = open_(log_);
       dup2(log, 1);
       dup2(log, 2);
