Keep objects of the store as bytes, so that one object fills no memory

Cause: each object was decoded into a tree before anything asked whether it can be used. A megabyte of empty tables takes 30 MB; the tree was kept as the object, in the log of changes and in batches, copied into the value that is encoded for peers, and the log's bound counted the bytes of the text.

Change: values are kept as encoded bytes that copies share, converted from the text without a tree and read in place. A mirror sends the bytes that it holds, in the form that former builds write and read. The log and the encodings of a mirror are bounded by what they hold.

The tests of former values change only in how they write and read them.

--- a/include/hibiscusnotch/store/mirror.hpp
+++ b/include/hibiscusnotch/store/mirror.hpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/store/object_store.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,13 +50,14 @@
 
   std::map<std::string, Object> objects_;
   std::deque<LogEntry> changeLog_;
-  std::size_t logBytes_ = 0;       ///< As encoded by the store.
+  std::size_t logBytes_ = 0;       ///< Held by the changes in the log.
   uint64_t compactedRevision_ = 0; ///< Changes up to it left the log.
   StoreVersion asOf_;
   bool hasSnapshot_ = false;
   std::string encodedItems_; ///< Empty if not encoded yet.
   std::map<uint64_t, std::string>
-    encodedChanges_; ///< By the reader's revision.
+    encodedChanges_;                    ///< By the reader's revision.
+  std::size_t encodedChangesBytes_ = 0; ///< Of all batches.
 };
 
 /// @brief A peer's request to a mirror: a list, or a watch since a revision.
@@ -89,9 +91,13 @@
 std::string
 EncodeMirrorBatch(const ChangeBatch& aBatch);
 /// @brief Returns nothing if the bytes are malformed.
+/// @param aReduce Called with each object as soon as it is decoded; may be
+/// empty.
 std::optional<ListPage>
-DecodeMirrorPage(std::string_view aBytes);
+DecodeMirrorPage(std::string_view aBytes,
+                 const std::function<void(Object&)>& aReduce = {});
 std::optional<ChangeBatch>
-DecodeMirrorBatch(std::string_view aBytes);
+DecodeMirrorBatch(std::string_view aBytes,
+                  const std::function<void(Object&)>& aReduce = {});
 
 } // namespace hibiscusnotch::store
--- a/include/hibiscusnotch/store/mirrored_store.hpp
+++ b/include/hibiscusnotch/store/mirrored_store.hpp
@@ -55,6 +55,8 @@
   /// other mirror to read, probes without it and notices the recovery first.
   Duration initialProbeBackoff{ 800'000 };
   Duration maxProbeBackoff{ 3'200'000 };
+  /// @brief Applied to the objects that mirrors send; may be empty.
+  ObjectReducer reduceObject;
 };
 
 struct MirroredStoreObserver
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "hibiscusnotch/core/time.hpp"
+#include "hibiscusnotch/store/encoded_value.hpp"
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,14 +35,23 @@
   uint64_t era = 0;              ///< Of the state that it was read from.
   uint64_t revision = 0;         ///< Store revision of the last change.
   uint64_t creationRevision = 0; ///< Store revision of its creation.
-  nlohmann::json spec;
-  nlohmann::json status;
-  /// @brief Why spec or status could not be decoded and are null; empty if they
-  /// could.
+  EncodedValue spec;
+  EncodedValue status;
+  /// @brief Why spec or status cannot be used and are null; empty if they can.
   std::string unreadable;
-  std::size_t encodedSize = 0; ///< Bytes in the store's response.
+
+  /// @brief Memory that the object takes. Copies share that of the values.
+  std::size_t HeldBytes() const
+  {
+    return sizeof(*this) + name.capacity() + unreadable.capacity() +
+           spec.HeldBytes() + status.HeldBytes();
+  }
 };
 
+/// @brief Drops what no reader of the kind uses from a received object, so that
+/// objects of other writers take little memory.
+using ObjectReducer = std::function<void(const std::string& aKind, Object&)>;
+
 struct ListPage
 {
   std::vector<Object> items;
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -76,6 +76,10 @@
 {
   store::MirroredStoreOptions options;
   options.probeKind = aCodec.Kinds().configuration;
+  options.reduceObject = [&aCodec](const std::string& aKind,
+                                   store::Object& aObject) {
+    aCodec.ReduceObject(aKind, aObject);
+  };
   return options;
 }
 
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -83,21 +83,21 @@
 {
   InstanceInfo instance;
   try {
-    instance.endpoint.address = aObject.spec.at("ip").get<std::string>();
-    const auto port = ReadCount(aObject.spec.at("port"));
+    const store::ValueView spec = aObject.spec.View();
+    instance.endpoint.address = spec.At("ip").Scalar().get<std::string>();
+    const auto port = ReadCount(spec.At("port").Scalar());
     // The next port is that of forwarded requests.
     if (port == 0 || port >= std::numeric_limits<uint16_t>::max()) {
       aLastReason = "port out of range";
       return std::nullopt;
     }
     instance.endpoint.port = static_cast<uint16_t>(port);
-    instance.zone = aObject.spec.at("zone").get<std::string>();
-    if (const auto capacity = aObject.spec.find("capacity");
-        capacity != aObject.spec.end()) {
+    instance.zone = spec.At("zone").Scalar().get<std::string>();
+    if (const auto capacity = spec.Find("capacity")) {
       instance.capacity = static_cast<uint32_t>(std::min<uint64_t>(
-        ReadCount(*capacity), std::numeric_limits<uint32_t>::max()));
+        ReadCount(capacity->Scalar()), std::numeric_limits<uint32_t>::max()));
     }
-  } catch (const nlohmann::json::exception& aError) {
+  } catch (const std::exception& aError) {
     aLastReason = aError.what();
     return std::nullopt;
   }
@@ -617,10 +617,11 @@
     }
     Object row;
     row.name = options_.instanceName;
-    row.spec = { { "ip", options_.peerEndpoint.address },
-                 { "port", options_.peerEndpoint.port },
-                 { "zone", options_.zone },
-                 { "capacity", options_.capacity } };
+    row.spec =
+      store::EncodedValue::FromJson({ { "ip", options_.peerEndpoint.address },
+                                      { "port", options_.peerEndpoint.port },
+                                      { "zone", options_.zone },
+                                      { "capacity", options_.capacity } });
     dependencies_.directStore.Create(
       dependencies_.storeCodec.Kinds().instances,
       row,
--- a/src/hibiscusnotch/entry/fleet_sync_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace hibiscusnotch::entry;
 using namespace hibiscusnotch::routing;
+using hibiscusnotch::store::EncodedValue;
 using hibiscusnotch::store::Mirror;
 using hibiscusnotch::store::Object;
 using hibiscusnotch::testing::FakeStore;
@@ -23,12 +24,16 @@
 {
 public:
   const StoreKinds& Kinds() const override { return kinds_; }
+  void ReduceObject(const std::string& /*aKind*/,
+                    Object& /*aObject*/) const override
+  {
+  }
   std::optional<Configuration> ReadConfiguration(
     const Object& aObject,
     std::string& /*aLastReason*/) const override
   {
     Configuration configuration;
-    configuration.version = aObject.spec.get<uint64_t>();
+    configuration.version = aObject.spec.ToJson().get<uint64_t>();
     return configuration;
   }
   std::optional<UpstreamEntry> ReadUpstream(
@@ -37,7 +42,7 @@
   {
     UpstreamEntry entry;
     entry.name = aObject.name;
-    entry.leaving = aObject.spec == "leaving";
+    entry.leaving = aObject.spec.ToJson() == "leaving";
     return entry;
   }
   std::optional<RolloutOrder> ReadRollout(
@@ -85,10 +90,10 @@
 MakeInstance(const std::string& aName)
 {
   Object object = MakeObject(aName, 2);
-  object.spec = { { "ip", "10.0.0.1" },
-                  { "port", 7000 },
-                  { "zone", "east" },
-                  { "capacity", 120 } };
+  object.spec = EncodedValue::FromJson({ { "ip", "10.0.0.1" },
+                                         { "port", 7000 },
+                                         { "zone", "east" },
+                                         { "capacity", 120 } });
   return object;
 }
 
@@ -96,7 +101,7 @@
 MakeConfiguration(uint64_t aVersion)
 {
   Object object = MakeObject("main", aVersion);
-  object.spec = aVersion;
+  object.spec = EncodedValue::FromJson(aVersion);
   return object;
 }
 
@@ -178,7 +183,9 @@
 {
   Fixture fixture;
   Object broken = MakeInstance("c");
-  broken.spec.erase("zone");
+  nlohmann::json spec = broken.spec.ToJson();
+  spec.erase("zone");
+  broken.spec = EncodedValue::FromJson(spec);
   fixture.store.AnswerWatch(0, { { broken, false } }, 11);
   CHECK_FALSE(fixture.fleet.instances.contains("c"));
   CHECK(fixture.fleet.instances.at("a").capacity == 120);
@@ -194,7 +201,9 @@
   };
   for (std::size_t index = 0; index < ports.size(); ++index) {
     Object odd = MakeInstance("odd" + std::to_string(index));
-    odd.spec["port"] = ports[index];
+    nlohmann::json spec = odd.spec.ToJson();
+    spec["port"] = ports[index];
+    odd.spec = EncodedValue::FromJson(spec);
     changes.push_back({ odd, false });
   }
   Object undecoded = MakeObject("undecoded", 3);
@@ -211,7 +220,7 @@
 {
   Fixture fixture;
   Object odd = MakeInstance("c");
-  odd.spec = nullptr;
+  odd.spec = {};
   fixture.store.AnswerWatch(
     0, { { odd, false }, { MakeObject("e", 3), false } }, 11);
   CHECK(fixture.fleet.unreadableObjects.at("i").size() == 2);
@@ -277,7 +286,7 @@
 {
   Fixture fixture;
   Object leaving = MakeObject("u", 4);
-  leaving.spec = "leaving";
+  leaving.spec = EncodedValue::FromJson("leaving");
   fixture.List("u", { leaving }, 10);
   fixture.Restore("u", { MakeObject("u", 2) }, 6);
   const auto id = fixture.fleet.upstreams.FindByName("u");
--- a/src/hibiscusnotch/entry/rollout_writer.cpp
+++ b/src/hibiscusnotch/entry/rollout_writer.cpp
@@ -127,7 +127,8 @@
     Object object;
     object.name = aService;
     object.revision = aOrder.revision;
-    object.status = dependencies_.storeCodec.WriteRolloutStatus(aOrder, aState);
+    object.status = store::EncodedValue::FromJson(
+      dependencies_.storeCodec.WriteRolloutStatus(aOrder, aState));
     dependencies_.log.Write(EventNumber::RolloutDecided,
                             "service=" + aService + " target=" + aOrder.target +
                               " state=" + StateName(aState) +
--- a/src/hibiscusnotch/entry/rollout_writer_test.cpp
+++ b/src/hibiscusnotch/entry/rollout_writer_test.cpp
@@ -7,6 +7,7 @@
 
 using namespace hibiscusnotch::entry;
 using namespace hibiscusnotch::routing;
+using hibiscusnotch::store::EncodedValue;
 using hibiscusnotch::store::Object;
 using hibiscusnotch::store::StoreError;
 using hibiscusnotch::testing::FakeStore;
@@ -21,6 +22,10 @@
 {
 public:
   const StoreKinds& Kinds() const override { return kinds_; }
+  void ReduceObject(const std::string& /*aKind*/,
+                    Object& /*aObject*/) const override
+  {
+  }
   std::optional<Configuration> ReadConfiguration(
     const Object& /*aObject*/,
     std::string& /*aLastReason*/) const override
@@ -44,7 +49,7 @@
     order.revision = aObject.revision;
     order.creationRevision = aObject.creationRevision;
     order.state = static_cast<RolloutState>(
-      aObject.status.is_null() ? 0 : aObject.status.get<int>());
+      aObject.status.IsNull() ? 0 : aObject.status.ToJson().get<int>());
     return order;
   }
   nlohmann::json WriteRolloutStatus(const RolloutOrder& /*aOrder*/,
@@ -90,7 +95,7 @@
     object.name = "engine";
     object.revision = aRevision;
     object.creationRevision = 3;
-    object.status = static_cast<int>(aState);
+    object.status = EncodedValue::FromJson(static_cast<int>(aState));
     return object;
   }
 };
@@ -110,7 +115,7 @@
   fixture.timers.Advance(18 * kSecond);
   REQUIRE(fixture.store.objects.size() == 2);
   CHECK(fixture.store.objects[1].object.revision == 4);
-  CHECK(fixture.store.objects[1].object.status ==
+  CHECK(fixture.store.objects[1].object.status.ToJson() ==
         static_cast<int>(RolloutState::Succeeded));
 }
 
--- a/src/hibiscusnotch/store/mirror.cpp
+++ b/src/hibiscusnotch/store/mirror.cpp
@@ -1,184 +1,158 @@
 #include "hibiscusnotch/store/mirror.hpp"
 
+#include "hibiscusnotch/store/cbor_writer.hpp"
+
 #include <charconv>
 #include <set>
+#include <span>
+#include <stdexcept>
 #include <vector>
 
 namespace hibiscusnotch::store {
 
 namespace {
 
-using nlohmann::json;
-
 // A peer that lags further behind lists again.
 constexpr std::size_t kMaxLogEntries = 512;
 constexpr std::size_t kMaxLogBytes = 4UL * 1024 * 1024;
 // Readers of one mirror are rarely at more different versions at once.
 constexpr std::size_t kMaxEncodedBatches = 16;
+constexpr std::size_t kMaxEncodedBytes = 4UL * 1024 * 1024;
 // A response's fields are era, revision, age, whether there was an outage, the
 // items or changes, and the restore time left. Instances of former builds end
 // with the items.
+constexpr std::size_t kItemsField = 4;
 constexpr std::size_t kRestoreTimeField = 5;
+constexpr std::size_t kFormerResponseFields = 5;
+constexpr std::size_t kResponseFields = 6;
 constexpr Duration kFormerRestoreTime{ 2'500'000 };
 // An object's fields are name, revision, creation revision, spec, status, why
-// it is unreadable, and its size. Those of former builds end with the status.
+// it is unreadable, and its size, which only instances of former builds read.
+// Those of still earlier builds end with the status.
 constexpr std::size_t kUnreadableField = 5;
-constexpr std::size_t kEncodedSizeField = 6;
-// The store client does not decode values of more levels; a response has three
-// around them.
-constexpr std::size_t kMaxResponseDepth = 72;
+constexpr std::size_t kFormerObjectFields = 5;
+constexpr std::size_t kObjectFields = 7;
+constexpr std::size_t kChangeFields = 2;
 constexpr std::string_view kPathPrefix = "/mirror/";
 constexpr std::string_view kSinceParameter = "?since=";
 constexpr std::string_view kEraParameter = "&era=";
 constexpr std::string_view kWaitParameter = "&wait_ms=";
 
-json
-EncodeObject(const Object& aObject)
+void
+EncodeObject(CborWriter& aWriter, const Object& aObject)
 {
-  return json::array({ aObject.name,
-                       aObject.revision,
-                       aObject.creationRevision,
-                       aObject.spec,
-                       aObject.status,
-                       aObject.unreadable,
-                       aObject.encodedSize });
+  aWriter.Array(kObjectFields);
+  aWriter.Text(aObject.name);
+  aWriter.Unsigned(aObject.revision);
+  aWriter.Unsigned(aObject.creationRevision);
+  aWriter.Encoded(aObject.spec.Encoded());
+  aWriter.Encoded(aObject.status.Encoded());
+  aWriter.Text(aObject.unreadable);
+  aWriter.Unsigned(aObject.HeldBytes());
 }
 
-Object
-DecodeObject(const json& aArray)
+std::string
+EncodeItems(std::span<const Object* const> aItems)
 {
-  Object object;
-  object.name = aArray.at(0).get<std::string>();
-  object.revision = aArray.at(1).get<uint64_t>();
-  object.creationRevision = aArray.at(2).get<uint64_t>();
-  object.spec = aArray.at(3);
-  object.status = aArray.at(4);
-  if (aArray.size() > kEncodedSizeField) {
-    object.unreadable = aArray.at(kUnreadableField).get<std::string>();
-    object.encodedSize = aArray.at(kEncodedSizeField).get<std::size_t>();
+  CborWriter writer;
+  writer.Array(aItems.size());
+  for (const Object* object : aItems) {
+    EncodeObject(writer, *object);
   }
-  return object;
+  return writer.Take();
 }
 
 std::string
-ToCbor(const json& aMessage)
+EncodeChanges(std::span<const Change> aChanges)
 {
-  std::string bytes;
-  json::to_cbor(aMessage, bytes);
-  return bytes;
+  CborWriter writer;
+  writer.Array(aChanges.size());
+  for (const Change& change : aChanges) {
+    writer.Array(kChangeFields);
+    writer.Boolean(change.removed);
+    EncodeObject(writer, change.object);
+  }
+  return writer.Take();
 }
 
-/// Checks CBOR (RFC 8949) without recursion, which json::from_cbor uses for
-/// nested values: true for one value of limited depth, as json::to_cbor writes
-/// it, with all lengths stated and no tags.
-bool
-IsShallowCbor(std::string_view aBytes)
+/// The elements of an array.
+/// @throws std::invalid_argument if it has less elements or is no array.
+std::vector<ValueView>
+RequireElements(const ValueView& aArray, std::size_t aLeast, std::size_t aMost)
 {
-  constexpr int kMajorTypeShift = 5;
-  constexpr unsigned kArgumentMask = 0x1F;
-  constexpr unsigned kFirstLongArgument = 24; // in 1, 2, 4 or 8 more bytes
-  constexpr unsigned kLastLongArgument = 27;
-  enum MajorType : unsigned
-  {
-    Bytes = 2,
-    Text = 3,
-    Array = 4,
-    Map = 5,
-    Tag = 6,
-  };
-  std::vector<uint64_t> missing{ 1 }; // values, by the level they belong to
-  std::size_t at = 0;
-  while (!missing.empty()) {
-    if (missing.back() == 0) {
-      missing.pop_back();
-      continue;
-    }
-    --missing.back();
-    if (at >= aBytes.size()) {
-      return false;
-    }
-    const auto initial = static_cast<unsigned char>(aBytes[at++]);
-    const unsigned type = initial >> kMajorTypeShift;
-    uint64_t argument = initial & kArgumentMask;
-    if (type == Tag || argument > kLastLongArgument) {
-      return false;
-    }
-    if (argument >= kFirstLongArgument) {
-      const std::size_t length = std::size_t{ 1 }
-                                 << (argument - kFirstLongArgument);
-      if (aBytes.size() - at < length) {
-        return false;
-      }
-      argument = 0;
-      for (std::size_t index = 0; index < length; ++index) {
-        argument = argument << 8 | static_cast<unsigned char>(aBytes[at++]);
-      }
-    }
-    const std::size_t left = aBytes.size() - at;
-    if (type == Bytes || type == Text) {
-      if (argument > left) {
-        return false;
-      }
-      at += static_cast<std::size_t>(argument);
-    } else if (type == Array || type == Map) {
-      // Each value takes a byte or more.
-      if (argument > left || missing.size() > kMaxResponseDepth) {
-        return false;
-      }
-      missing.push_back(type == Map ? argument * 2 : argument);
+  std::vector<ValueView> elements;
+  aArray.ForEach([&](const ValueView& aElement) {
+    if (elements.size() < aMost) {
+      elements.push_back(aElement);
     }
+  });
+  if (elements.size() < aLeast) {
+    throw std::invalid_argument("too few fields");
   }
-  return at == aBytes.size();
+  return elements;
 }
 
-/// Decodes a response.
-/// @throws json::exception if it is malformed or nested too deeply.
-json
-FromCbor(std::string_view aBytes)
+std::string
+RequireText(const ValueView& aValue)
 {
-  if (!IsShallowCbor(aBytes)) {
-    return nullptr; // fails the checks of type that follow
+  const auto text = aValue.Text();
+  if (!text) {
+    throw std::invalid_argument("expected a text");
   }
-  return json::from_cbor(aBytes);
+  return std::string(*text);
 }
 
-json
-EncodeChange(const Change& aChange)
+EncodedValue
+CopyValue(const ValueView& aValue)
 {
-  return json::array({ aChange.removed, EncodeObject(aChange.object) });
+  return aValue.IsNull() ? EncodedValue()
+                         : EncodedValue(std::string(aValue.Encoded()));
 }
 
-std::string
-EncodeItems(const std::vector<Object>& aItems)
+Object
+DecodeObject(const ValueView& aArray,
+             const std::function<void(Object&)>& aReduce)
 {
-  json items = json::array();
-  for (const Object& object : aItems) {
-    items.push_back(EncodeObject(object));
+  const auto fields =
+    RequireElements(aArray, kFormerObjectFields, kObjectFields);
+  Object object;
+  object.name = RequireText(fields[0]);
+  object.revision = fields[1].Scalar().get<uint64_t>();
+  object.creationRevision = fields[2].Scalar().get<uint64_t>();
+  object.spec = CopyValue(fields[3]);
+  object.status = CopyValue(fields[4]);
+  if (fields.size() == kObjectFields) {
+    object.unreadable = RequireText(fields[kUnreadableField]);
+  }
+  if (aReduce) {
+    aReduce(object);
   }
-  return ToCbor(items);
+  return object;
 }
 
-std::string
-EncodeChanges(const std::vector<Change>& aChanges)
+/// The fields of a response.
+/// @throws std::invalid_argument if it is malformed or nested too deeply.
+std::vector<ValueView>
+SplitResponse(std::string_view aBytes)
 {
-  json changes = json::array();
-  for (const Change& change : aChanges) {
-    changes.push_back(EncodeChange(change));
+  if (!IsWellFormedCbor(aBytes)) {
+    throw std::invalid_argument("malformed response");
   }
-  return ToCbor(changes);
+  return RequireElements(
+    ValueView(aBytes), kFormerResponseFields, kResponseFields);
 }
 
 MirrorResponseHead
-DecodeHead(const json& aMessage)
+DecodeHead(std::span<const ValueView> aFields)
 {
   MirrorResponseHead head;
-  head.asOf.era = aMessage.at(0).get<uint64_t>();
-  head.asOf.revision = aMessage.at(1).get<uint64_t>();
-  head.age = Duration{ aMessage.at(2).get<int64_t>() };
-  if (aMessage.at(3).get<bool>()) {
+  head.asOf.era = aFields[0].Scalar().get<uint64_t>();
+  head.asOf.revision = aFields[1].Scalar().get<uint64_t>();
+  head.age = Duration{ aFields[2].Scalar().get<int64_t>() };
+  if (aFields[3].Scalar().get<bool>()) {
     head.restoreTimeLeft =
-      aMessage.size() > kRestoreTimeField
-        ? Duration{ aMessage.at(kRestoreTimeField).get<int64_t>() }
+      aFields.size() > kRestoreTimeField
+        ? Duration{ aFields[kRestoreTimeField].Scalar().get<int64_t>() }
         : kFormerRestoreTime;
   }
   return head;
@@ -200,10 +174,10 @@
 Mirror::AppendToLog(const Change& aChange, uint64_t aRevision)
 {
   changeLog_.push_back({ aRevision, aChange });
-  logBytes_ += aChange.object.encodedSize;
+  logBytes_ += aChange.object.HeldBytes();
   while (changeLog_.size() > kMaxLogEntries || logBytes_ > kMaxLogBytes) {
     compactedRevision_ = changeLog_.front().revision;
-    logBytes_ -= changeLog_.front().change.object.encodedSize;
+    logBytes_ -= changeLog_.front().change.object.HeldBytes();
     changeLog_.pop_front();
   }
 }
@@ -211,8 +185,9 @@
 void
 Mirror::DropEncodings()
 {
-  encodedItems_.clear();
+  encodedItems_ = {};
   encodedChanges_.clear();
+  encodedChangesBytes_ = 0;
 }
 
 void
@@ -308,7 +283,12 @@
 Mirror::EncodedItems()
 {
   if (encodedItems_.empty()) {
-    encodedItems_ = EncodeItems(List().items);
+    std::vector<const Object*> items;
+    items.reserve(objects_.size());
+    for (const auto& [name, object] : objects_) {
+      items.push_back(&object);
+    }
+    encodedItems_ = EncodeItems(items);
   }
   return encodedItems_;
 }
@@ -319,12 +299,15 @@
   if (!HasHistorySince(aVersion)) {
     return nullptr;
   }
-  if (encodedChanges_.size() >= kMaxEncodedBatches) {
+  if (encodedChanges_.size() >= kMaxEncodedBatches ||
+      encodedChangesBytes_ > kMaxEncodedBytes) {
     encodedChanges_.clear();
+    encodedChangesBytes_ = 0;
   }
   std::string& encoded = encodedChanges_[aVersion.revision];
   if (encoded.empty()) {
     encoded = EncodeChanges(ChangesSince(aVersion)->changes);
+    encodedChangesBytes_ += encoded.size();
   }
   return &encoded;
 }
@@ -377,22 +360,28 @@
 std::string
 EncodeMirrorResponse(const MirrorResponseHead& aHead, std::string_view aEncoded)
 {
-  constexpr char kArrayOfSix = '\x86'; // RFC 8949, section 3.1
-  std::string bytes(1, kArrayOfSix);
-  bytes += ToCbor(aHead.asOf.era);
-  bytes += ToCbor(aHead.asOf.revision);
-  bytes += ToCbor(aHead.age.count());
-  bytes += ToCbor(aHead.restoreTimeLeft > Duration::zero());
-  bytes += aEncoded;
-  bytes += ToCbor(aHead.restoreTimeLeft.count());
-  return bytes;
+  constexpr std::size_t kMaxHeadBytes = 64;
+  CborWriter writer;
+  writer.Reserve(aEncoded.size() + kMaxHeadBytes);
+  writer.Array(kResponseFields);
+  writer.Unsigned(aHead.asOf.era);
+  writer.Unsigned(aHead.asOf.revision);
+  writer.Signed(aHead.age.count());
+  writer.Boolean(aHead.restoreTimeLeft > Duration::zero());
+  writer.Encoded(aEncoded);
+  writer.Signed(aHead.restoreTimeLeft.count());
+  return writer.Take();
 }
 
 std::string
 EncodeMirrorPage(const ListPage& aPage)
 {
+  std::vector<const Object*> items;
+  for (const Object& object : aPage.items) {
+    items.push_back(&object);
+  }
   return EncodeMirrorResponse({ aPage.asOf, aPage.age, aPage.restoreTimeLeft },
-                              EncodeItems(aPage.items));
+                              EncodeItems(items));
 }
 
 std::string
@@ -404,42 +393,45 @@
 }
 
 std::optional<ListPage>
-DecodeMirrorPage(std::string_view aBytes)
+DecodeMirrorPage(std::string_view aBytes,
+                 const std::function<void(Object&)>& aReduce)
 {
   try {
-    const json message = FromCbor(aBytes);
-    const MirrorResponseHead head = DecodeHead(message);
+    const auto fields = SplitResponse(aBytes);
+    const MirrorResponseHead head = DecodeHead(fields);
     ListPage page;
     page.asOf = head.asOf;
     page.age = head.age;
     page.fromMirror = true;
     page.restoreTimeLeft = head.restoreTimeLeft;
-    for (const json& array : message.at(4)) {
-      page.items.push_back(DecodeObject(array));
-    }
+    fields[kItemsField].ForEach([&](const ValueView& aItem) {
+      page.items.push_back(DecodeObject(aItem, aReduce));
+    });
     return page;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt; // the caller falls back to another source and logs it
   }
 }
 
 std::optional<ChangeBatch>
-DecodeMirrorBatch(std::string_view aBytes)
+DecodeMirrorBatch(std::string_view aBytes,
+                  const std::function<void(Object&)>& aReduce)
 {
   try {
-    const json message = FromCbor(aBytes);
-    const MirrorResponseHead head = DecodeHead(message);
+    const auto fields = SplitResponse(aBytes);
+    const MirrorResponseHead head = DecodeHead(fields);
     ChangeBatch batch;
     batch.asOf = head.asOf;
     batch.age = head.age;
     batch.fromMirror = true;
     batch.restoreTimeLeft = head.restoreTimeLeft;
-    for (const json& array : message.at(4)) {
+    fields[kItemsField].ForEach([&](const ValueView& aItem) {
+      const auto change = RequireElements(aItem, kChangeFields, kChangeFields);
       batch.changes.push_back(
-        { DecodeObject(array.at(1)), array.at(0).get<bool>() });
-    }
+        { DecodeObject(change[1], aReduce), change[0].Scalar().get<bool>() });
+    });
     return batch;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt; // the caller falls back to another source and logs it
   }
 }
--- a/src/hibiscusnotch/store/mirror_test.cpp
+++ b/src/hibiscusnotch/store/mirror_test.cpp
@@ -58,7 +58,7 @@
 TEST_CASE("encoded pages and batches decode to the same values")
 {
   Object object = MakeObject("a", 3);
-  object.spec = { { "x", 1 } };
+  object.spec = EncodedValue::FromJson({ { "x", 1 } });
   ListPage page;
   page.items = { object };
   page.asOf = { 1, 7 };
@@ -66,7 +66,7 @@
   page.restoreTimeLeft = Duration{ 800 };
   const auto decoded = DecodeMirrorPage(EncodeMirrorPage(page));
   REQUIRE(decoded);
-  CHECK(decoded->items[0].spec == object.spec);
+  CHECK(decoded->items[0].spec.ToJson() == object.spec.ToJson());
   CHECK(decoded->asOf.revision == 7);
   CHECK(decoded->age == page.age);
   CHECK(decoded->fromMirror);
@@ -149,17 +149,60 @@
   CHECK_FALSE(DecodeMirrorPage(whole + '\0'));
 }
 
+TEST_CASE("responses are read by former builds, and theirs are read here")
+{
+  // During an update, instances of both builds read each other's mirrors. The
+  // former one encodes and decodes whole responses with the JSON library.
+  using nlohmann::json;
+  const json spec = { { "service", "x" }, { "slots", 3 }, { "cold", 1.5 } };
+  Object object = MakeObject("a", 3);
+  object.spec = EncodedValue::FromJson(spec);
+  object.unreadable = "why";
+  ListPage page;
+  page.items = { object };
+  page.asOf = { 1, 70'000 };
+  page.age = Duration{ -1500 };
+  const std::string bytes = EncodeMirrorPage(page);
+  const json read = json::from_cbor(bytes);
+  const json item = { "a", 3, 3, spec, nullptr, "why", object.HeldBytes() };
+  CHECK(read == json({ 1, 70'000, -1500, false, json::array({ item }), 0 }));
+
+  std::string former;
+  json::to_cbor({ 1, 70'000, 5, true, { { true, item } }, 800 }, former);
+  const auto batch = DecodeMirrorBatch(former);
+  REQUIRE(batch);
+  REQUIRE(batch->changes.size() == 1);
+  CHECK(batch->changes[0].removed);
+  CHECK(batch->changes[0].object.spec.ToJson() == spec);
+  CHECK(batch->changes[0].object.unreadable == "why");
+  CHECK(batch->asOf == StoreVersion{ 1, 70'000 });
+  CHECK(batch->restoreTimeLeft == Duration{ 800 });
+}
+
+TEST_CASE("an object is reduced before the next one of a response is decoded")
+{
+  ListPage page;
+  page.items = { MakeObject("a", 3), MakeObject("b", 4) };
+  std::vector<std::string> reduced;
+  const auto decoded =
+    DecodeMirrorPage(EncodeMirrorPage(page), [&](Object& aObject) {
+      reduced.push_back(aObject.name);
+      aObject.unreadable = "dropped";
+    });
+  REQUIRE(decoded);
+  CHECK(reduced == std::vector<std::string>{ "a", "b" });
+  CHECK(decoded->items[1].unreadable == "dropped");
+}
+
 TEST_CASE("an unreadable object stays one in a mirror's copy")
 {
   Object object = MakeObject("a", 3);
   object.unreadable = "spec: nested too deeply";
-  object.encodedSize = 500'000;
   ListPage page;
   page.items = { object, MakeObject("b", 4) };
   const auto decoded = DecodeMirrorPage(EncodeMirrorPage(page));
   REQUIRE(decoded);
   CHECK(decoded->items[0].unreadable == object.unreadable);
-  CHECK(decoded->items[0].encodedSize == 500'000);
   CHECK(decoded->items[1].unreadable.empty());
 }
 
@@ -171,7 +214,7 @@
   mirror.ApplyList({}, { 1, 1 });
   for (uint64_t revision = 2; revision < 300; ++revision) {
     Object object = MakeObject("a", revision);
-    object.encodedSize = 1'000'000;
+    object.spec = EncodedValue::FromJson(std::string(1'000'000, 'x'));
     mirror.Apply({ object, false }, { 1, revision });
   }
   CHECK(mirror.ChangesSince({ 1, 297 })->changes.size() == 2);
--- a/src/hibiscusnotch/store/mirrored_store.cpp
+++ b/src/hibiscusnotch/store/mirrored_store.cpp
@@ -50,8 +50,9 @@
           options_.listTimeout,
           [this, peer = peer->name, aKind, aReply](
             const relay::FetchedResponse& aGot) {
-            auto page =
-              aGot.status == kOk ? DecodeMirrorPage(aGot.body) : std::nullopt;
+            auto page = aGot.status == kOk
+                          ? DecodeMirrorPage(aGot.body, ReducerOf(aKind))
+                          : std::nullopt;
             HandleMirrorResponse(
               peer, aKind, aGot.status, std::move(page), aReply);
           });
@@ -86,8 +87,9 @@
               aReply(std::nullopt, StoreError::HistoryGone);
               return;
             }
-            auto batch =
-              aGot.status == kOk ? DecodeMirrorBatch(aGot.body) : std::nullopt;
+            auto batch = aGot.status == kOk
+                           ? DecodeMirrorBatch(aGot.body, ReducerOf(aKind))
+                           : std::nullopt;
             HandleMirrorResponse(
               peer, aKind, aGot.status, std::move(batch), aReply);
           });
@@ -130,6 +132,15 @@
     ReplyCallback<ChangeBatch> reply;
   };
 
+  std::function<void(Object&)> ReducerOf(const std::string& aKind) const
+  {
+    if (!options_.reduceObject) {
+      return {};
+    }
+    return
+      [this, aKind](Object& aObject) { options_.reduceObject(aKind, aObject); };
+  }
+
   std::optional<MirrorPeer> ChoosePeer(const std::string& aKind)
   {
     std::vector<MirrorPeer> peers = observer_.peers();
