Bound the bodies of all fetches together

What can happen: a store or mirrors that send bodies without end for several kinds of objects at once.

Change: when the bodies under way exceed the bound of one, the longest fails, as one that is too long by itself. A short list beside them is still delivered.

--- a/include/hibiscusnotch/relay/fetcher.hpp
+++ b/include/hibiscusnotch/relay/fetcher.hpp
@@ -26,7 +26,8 @@
 class Fetcher
 {
 public:
-  /// @brief A longer body is a failure; lists of the store have a few MB.
+  /// @brief A longer body is a failure; lists of the store have a few MB. Also
+  /// the bound of all bodies under way: beyond it, the longest one fails.
   static constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
 
   Fetcher(OutboundClient& aClient, Timers& aTimers);
@@ -44,11 +45,14 @@
     FetchCallback done;
   };
 
+  void AppendBody(FetchId aFetch, std::string_view aBytes);
+  FetchId LongestBody() const;
   void End(FetchId aFetch, bool aComplete);
 
   OutboundClient& client_;
   Timers& timers_;
   std::unordered_map<FetchId, PendingFetch> pending_;
+  std::size_t bodyBytes_ = 0; ///< Of all that are under way.
   FetchId lastId_ = 0;
 };
 
--- a/src/hibiscusnotch/relay/fetcher.cpp
+++ b/src/hibiscusnotch/relay/fetcher.cpp
@@ -1,5 +1,7 @@
 #include "hibiscusnotch/relay/fetcher.hpp"
 
+#include <algorithm>
+
 namespace hibiscusnotch::relay {
 
 Fetcher::Fetcher(OutboundClient& aClient, Timers& aTimers)
@@ -19,12 +21,7 @@
     response.headers = aHead.headers;
   };
   observer.onBody = [this, id](std::string_view aBytes) {
-    std::string& body = pending_.at(id).response.body;
-    if (body.size() + aBytes.size() > kMaxBodyBytes) {
-      End(id, false);
-    } else {
-      body.append(aBytes);
-    }
+    AppendBody(id, aBytes);
   };
   observer.onEnd = [this, id](CallOutcome aEnd, std::string_view) {
     End(id, aEnd == CallOutcome::Complete);
@@ -42,6 +39,32 @@
   End(aFetch, false);
 }
 
+void
+Fetcher::AppendBody(FetchId aFetch, std::string_view aBytes)
+{
+  std::string& body = pending_.at(aFetch).response.body;
+  if (body.size() + aBytes.size() > kMaxBodyBytes) {
+    End(aFetch, false);
+    return;
+  }
+  body.append(aBytes);
+  bodyBytes_ += aBytes.size();
+  while (bodyBytes_ > kMaxBodyBytes) {
+    End(LongestBody(), false);
+  }
+}
+
+FetchId
+Fetcher::LongestBody() const
+{
+  return std::ranges::max_element(pending_,
+                                  {},
+                                  [](const auto& aEntry) {
+                                    return aEntry.second.response.body.size();
+                                  })
+    ->first;
+}
+
 void
 Fetcher::End(FetchId aFetch, bool aComplete)
 {
@@ -52,6 +75,7 @@
   timers_.Cancel(pending.mapped().timer);
   client_.Cancel(pending.mapped().call);
   FetchedResponse& response = pending.mapped().response;
+  bodyBytes_ -= response.body.size();
   if (!aComplete) {
     response.status = 0;
   }
--- a/src/hibiscusnotch/relay/fetcher_test.cpp
+++ b/src/hibiscusnotch/relay/fetcher_test.cpp
@@ -3,8 +3,12 @@
 #include "hibiscusnotch/testing/fake_outbound_client.hpp"
 #include "hibiscusnotch/testing/manual_timers.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <numeric>
 #include <optional>
+#include <set>
+#include <vector>
 
 using namespace hibiscusnotch::relay;
 using hibiscusnotch::testing::FakeOutboundClient;
@@ -88,3 +92,41 @@
   CHECK(fixture.client.Open() == 0);
   CHECK(fixture.body.size() <= Fetcher::kMaxBodyBytes);
 }
+
+TEST_CASE("many bodies without end together take no more memory than one")
+{
+  // Guards against a store or mirrors that send such bodies for each kind of
+  // object at once.
+  constexpr std::size_t kFetches = 8;
+  FakeOutboundClient client;
+  ManualTimers timers;
+  Fetcher fetcher(client, timers);
+  std::vector<std::size_t> held(kFetches);
+  std::set<std::size_t> failed;
+  for (std::size_t index = 0; index < kFetches; ++index) {
+    fetcher.Start({}, kSecond, [&, index](const FetchedResponse& aResponse) {
+      CHECK(aResponse.status == 0);
+      failed.insert(index);
+      held[index] = 0;
+    });
+    ResponseHead head;
+    head.status = 200;
+    client.Head(index, head);
+  }
+  const std::string piece(1024 * 1024, 'x');
+  std::size_t most = 0;
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t index = 0; index < kFetches; ++index) {
+      // The last one is a short body, which is not the one that fails.
+      if (failed.contains(index) || (index + 1 == kFetches && round > 0)) {
+        continue;
+      }
+      held[index] += piece.size();
+      client.Body(index, piece);
+      most = std::max(most, std::accumulate(held.begin(), held.end(), 0UL));
+    }
+  }
+  CHECK(most <= Fetcher::kMaxBodyBytes);
+  CHECK(failed.size() == kFetches - 1);
+  CHECK_FALSE(failed.contains(kFetches - 1));
+}
