Reject responses with thousands of header fields

What can happen: a head was bounded by 64 KB of text, but a field of four bytes is held as two strings.

Change: a response, its trailers counted, has 512 fields at most.

Result: http_reader_test, heads and trailers of 12,000 fields are malformed (accepted before); 200 fields pass.

--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view kLineEnd = "\r\n";
 // Far above what upstreams send; also limits a chunk's size line and trailers.
 constexpr std::size_t kMaxResponseHeaderBytes = 64 * 1024;
+// A field takes many times its bytes if these are few.
+constexpr std::size_t kMaxResponseFields = 512;
 // Before a request; RFC 9112, section 2.2, allows at least one.
 constexpr std::size_t kMaxBlankLines = 4;
 constexpr int kSwitchingProtocols = 101;
@@ -71,6 +73,10 @@
                      View aValue,
                      error_code& aError) override
   {
+    if (!IsRequest && headers.size() >= kMaxResponseFields) {
+      aError = http::error::header_limit;
+      return;
+    }
     aError = {};
     headers.emplace_back(std::string(aName.data(), aName.size()),
                          std::string(aValue.data(), aValue.size()));
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -258,6 +258,26 @@
   }
 }
 
+TEST_CASE("a response with thousands of small fields is rejected")
+{
+  // Guards against heads and trailers that take fifty times their bytes.
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  for (const std::string start : { "HTTP/1.1 200 OK\r\n", chunked.c_str() }) {
+    for (const int fields : { 200, 12'000 }) {
+      std::string buffer = start;
+      for (int field = 0; field < fields; ++field) {
+        buffer += "a:\r\n";
+      }
+      buffer += "\r\n";
+      CAPTURE(start);
+      CAPTURE(fields);
+      const auto reader = MakeResponseReader(false);
+      CHECK((reader->Read(buffer) == ReadState::Malformed) == (fields > 200));
+    }
+  }
+}
+
 TEST_CASE("a request without end is rejected")
 {
   // Guards against a peer that fills memory by a request that does not end.
