Count all that is held of upstreams' responses in one bound

Cause: what outlives the reading of a message, kept errors, partial events and heads, was counted nowhere.

Change: the router counts these for each request until it ends. Above the bound it drops kept errors first, whose requests end with 502, and else breaks off the attempt that holds most, as before. An event splitter gives its buffer back.

Result: request_router_test, three new cases, each fails before and stays within 24 MB now, the bound of the former case.

--- a/include/hibiscusnotch/entry/request_router.hpp
+++ b/include/hibiscusnotch/entry/request_router.hpp
@@ -81,6 +81,9 @@
                                     relay::ExchangeId aId) = 0;
   virtual void OnWritten(RequestOrigin aOrigin, relay::ExchangeId aId) = 0;
   virtual std::size_t OpenRequestCount() const = 0;
+  /// @brief Memory that upstreams' responses take until they are passed on,
+  /// about.
+  virtual std::size_t BufferedBytes() const = 0;
   /// @brief Requests that wait for an upstream.
   virtual std::size_t QueuedRequestCount() const = 0;
   /// @brief How long the oldest of them has been open.
--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -36,6 +36,7 @@
   UplinksLost,
   LimitedUpstreams,
   UnsentBytes,
+  BufferedResponseBytes,
   UnreadableObjects,
 };
 
--- a/include/hibiscusnotch/relay/event_splitter.hpp
+++ b/include/hibiscusnotch/relay/event_splitter.hpp
@@ -38,12 +38,14 @@
   /// @brief True if a source that goes on after `LastId` repeats no event: none
   /// without an id has been passed on since.
   bool IsResumable() const { return !passedWithoutId_; }
+  /// @brief Memory of what is held back.
+  std::size_t HeldBytes() const { return partial_.capacity(); }
   /// @brief True while an incomplete event is buffered.
   bool HasPartialEvent() const { return !partial_.empty(); }
   /// @brief Drops what is held back, before another source resumes the stream.
   void DropPartialEvent()
   {
-    partial_.clear();
+    partial_ = {};
     searched_ = 0;
     outOfOrder_ = false;
   }
--- a/include/hibiscusnotch/relay/http_reader.hpp
+++ b/include/hibiscusnotch/relay/http_reader.hpp
@@ -64,6 +64,16 @@
   {
     return net::FindHeader(headers, aName);
   }
+
+  /// @brief Memory that the fields take, about.
+  std::size_t HeldBytes() const
+  {
+    std::size_t bytes = headers.size() * sizeof(headers.front());
+    for (const auto& [name, value] : headers) {
+      bytes += name.size() + value.size();
+    }
+    return bytes;
+  }
 };
 
 /// @brief Parses one response.
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -386,6 +386,8 @@
   {
     metrics_->Set(observe::Gauge::OpenRequests,
                   static_cast<double>(router_->OpenRequestCount()));
+    metrics_->Set(observe::Gauge::BufferedResponseBytes,
+                  static_cast<double>(router_->BufferedBytes()));
     metrics_->Set(observe::Gauge::LiveInstances,
                   static_cast<double>(fleet_.InstanceCount()));
     if (fleet_.configuration) {
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -56,6 +56,11 @@
   ResponseMetadata metadata; ///< Empty for a response to another request.
   bool isForeign = false;    ///< The response is to another request.
   std::string body;          ///< Buffered until complete.
+
+  std::size_t HeldBytes() const
+  {
+    return body.size() + (head ? head->HeldBytes() : 0);
+  }
 };
 
 /// @brief An upstream's error response, for the caller if all attempts fail.
@@ -63,6 +68,8 @@
 {
   relay::ResponseHead head;
   std::string body;
+
+  std::size_t HeldBytes() const { return body.size() + head.HeldBytes(); }
 };
 
 struct Exchange
@@ -104,6 +111,7 @@
   std::string lastModel;
   std::optional<int> lastConfidence; ///< Of the forwarded answer.
   std::string lastVersion;
+  std::size_t countedBytes = 0; ///< Of its responses, in the router's bound.
 };
 
 } // namespace hibiscusnotch::entry
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -157,6 +157,8 @@
 
   std::size_t OpenRequestCount() const override { return exchanges_.size(); }
 
+  std::size_t BufferedBytes() const override { return bufferedBytes_; }
+
   std::size_t QueuedRequestCount() const override { return queue_.Size(); }
 
   Duration OldestQueuedAge() const override { return queue_.OldestAge(); }
@@ -499,6 +501,9 @@
     Exchange& exchange = found->second;
     Attempt& attempt = *exchange.attempt;
     attempt.head = aHead;
+    if (!CountResponse(exchange)) {
+      return;
+    }
     attempt.metadata = headerCodec_.ReadResponse(aHead);
     if (IsForAnotherRequest(exchange, attempt)) {
       // Nothing that it states, above all "not run", is about this request.
@@ -647,16 +652,67 @@
         BreakOff(aKey, "event too long");
       } else if (outOfOrder) {
         BreakOff(aKey, "event id did not rise");
+      } else if (exchanges_.contains(aKey)) {
+        CountResponse(exchange);
       }
       return;
     }
     attempt.body.append(aBytes);
-    bufferedBytes_ += aBytes.size();
     if (attempt.body.size() > kMaxBufferedBodyBytes) {
       BreakOff(aKey, "response body too large");
-    } else if (bufferedBytes_ > kMaxBufferedBytes) {
-      BreakOff(LargestBufferedBody(), "response bodies take too much memory");
+    } else {
+      CountResponse(exchange);
+    }
+  }
+
+  /// Counts what is held of the exchange's responses.
+  void UpdateCount(Exchange& aExchange)
+  {
+    const std::size_t held =
+      aExchange.events.HeldBytes() +
+      (aExchange.attempt ? aExchange.attempt->HeldBytes() : 0) +
+      (aExchange.fallbackResponse ? aExchange.fallbackResponse->HeldBytes()
+                                  : 0);
+    bufferedBytes_ += held - aExchange.countedBytes;
+    aExchange.countedBytes = held;
+  }
+
+  /// Counts what is held of the exchange's responses and keeps the sum of all
+  /// within its bound; false if the exchange's attempt was broken off for it.
+  bool CountResponse(Exchange& aExchange)
+  {
+    const ExchangeKey key = aExchange.key;
+    const relay::CallId call = aExchange.attempt ? aExchange.attempt->call : 0;
+    UpdateCount(aExchange);
+    while (bufferedBytes_ > kMaxBufferedBytes && DropLargestResponse()) {
+    }
+    const auto still = exchanges_.find(key);
+    return still != exchanges_.end() && still->second.attempt &&
+           still->second.attempt->call == call;
+  }
+
+  /// Drops an upstream's error that is kept for its caller, or else ends the
+  /// attempt that holds most; false if there is nothing to drop.
+  bool DropLargestResponse()
+  {
+    const auto largest =
+      std::ranges::max_element(exchanges_, {}, [](const auto& aEntry) {
+        return aEntry.second.countedBytes;
+      });
+    if (largest == exchanges_.end() || largest->second.countedBytes == 0) {
+      return false;
+    }
+    Exchange& exchange = largest->second;
+    if (exchange.fallbackResponse) {
+      exchange.fallbackResponse.reset();
+      UpdateCount(exchange);
+      return true;
     }
+    if (!exchange.attempt) {
+      return false;
+    }
+    BreakOff(exchange.key, "response bodies take too much memory");
+    return true;
   }
 
   /// Ends an attempt whose response does not end.
@@ -669,18 +725,6 @@
     }
   }
 
-  ExchangeKey LargestBufferedBody() const
-  {
-    return std::ranges::max_element(exchanges_,
-                                    {},
-                                    [](const auto& aEntry) {
-                                      const auto& attempt =
-                                        aEntry.second.attempt;
-                                      return attempt ? attempt->body.size() : 0;
-                                    })
-      ->first;
-  }
-
   void ForwardEvents(Exchange& aExchange, const std::string& aEvents)
   {
     const ExchangeKey key = aExchange.key;
@@ -704,7 +748,6 @@
     }
     timers_.Cancel(std::exchange(aExchange.attemptTimer, 0));
     Attempt& attempt = *aExchange.attempt;
-    bufferedBytes_ -= attempt.body.size();
     models_.RecordEnd(attempt);
     recorder_.MarkPromptRead(attempt);
     if (attempt.peer.empty()) {
@@ -717,6 +760,7 @@
     }
     client_.Cancel(attempt.call);
     aExchange.attempt.reset();
+    UpdateCount(aExchange);
   }
 
   void OnAttemptEnd(ExchangeKey aKey,
@@ -781,6 +825,7 @@
       recorder_.RecordLostAttempt(aExchange, aAttempt);
     }
     aExchange.events.DropPartialEvent();
+    UpdateCount(aExchange);
     Retry(aExchange, Reason::AttemptLost, true);
   }
 
@@ -825,6 +870,7 @@
     if (status / 100 != 2 && aAttempt.metadata.sealed) {
       aExchange.fallbackResponse =
         FallbackResponse{ *aAttempt.head, aAttempt.body };
+      CountResponse(aExchange);
     }
     Retry(aExchange, Reason::UpstreamFailed, true);
   }
@@ -994,6 +1040,7 @@
     if (aExchange.waitTicket != 0) {
       queue_.Leave(aExchange);
     }
+    bufferedBytes_ -= aExchange.countedBytes;
     exchanges_.erase(aExchange.key);
   }
 
@@ -1012,7 +1059,7 @@
   ForwardPlanner forwards_;
   std::map<ExchangeKey, Exchange> exchanges_;
   std::map<std::string, routing::RetryBudget> retryBudgets_;
-  std::size_t bufferedBytes_ = 0; ///< Of response bodies.
+  std::size_t bufferedBytes_ = 0; ///< Held of all responses.
   uint64_t forwardCount_ = 0;
   bool shuttingDown_ = false;
 };
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -609,6 +609,86 @@
   CHECK(fixture.Response(id).body == "id: 1\ndata: a\n\n");
 }
 
+TEST_CASE("unfinished events of many streams take no more than their bound")
+{
+  // Guards against upstreams that leave one long event unfinished in each of
+  // many streams.
+  constexpr std::size_t kStreams = 200;
+  constexpr std::size_t kMaxBytes = 24 * 1024 * 1024;
+  const std::string piece(200 * 1024, 'x');
+  Fixture fixture;
+  std::vector<relay::ExchangeId> ids;
+  std::size_t most = 0;
+  for (std::size_t stream = 0; stream < kStreams; ++stream) {
+    const std::size_t send = fixture.client.sent.size();
+    ids.push_back(fixture.Request("stream"));
+    REQUIRE(fixture.client.sent.size() == send + 1);
+    fixture.client.Head(send, fixture.Head(200));
+    fixture.client.Body(send, "id: 1\ndata: a\n\n");
+    fixture.client.Body(send, piece);
+    // A resumed stream begins without a partial event.
+    most = std::max(most, fixture.router->BufferedBytes());
+  }
+  CHECK(most <= kMaxBytes);
+  for (const relay::ExchangeId id : ids) {
+    CHECK(fixture.Response(id).body == "id: 1\ndata: a\n\n");
+  }
+  // What is held is released with the requests.
+  for (const relay::ExchangeId id : ids) {
+    fixture.router->OnClientDisconnected(RequestOrigin::Caller, id);
+  }
+  CHECK(fixture.router->BufferedBytes() == 0);
+}
+
+TEST_CASE("errors that are kept for many callers take no more than their bound")
+{
+  // Guards against upstreams that answer each request with a large error: it is
+  // kept until the request's last attempt ends.
+  constexpr std::size_t kRequests = 40;
+  constexpr std::size_t kMaxBytes = 24 * 1024 * 1024;
+  const std::string body(3 * 1024 * 1024, 'x');
+  Fixture fixture;
+  std::vector<relay::ExchangeId> ids;
+  std::vector<std::size_t> secondSends;
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    const std::size_t send = fixture.client.sent.size();
+    ids.push_back(fixture.Request("safe"));
+    fixture.client.Head(send, fixture.Head(500));
+    fixture.client.Body(send, body);
+    fixture.client.End(send, CallOutcome::Complete);
+    REQUIRE(fixture.client.sent.size() == send + 2);
+    secondSends.push_back(send + 1);
+  }
+  for (const std::size_t send : secondSends) {
+    fixture.client.End(send, CallOutcome::ConnectionLost);
+  }
+  std::size_t kept = 0;
+  for (const relay::ExchangeId id : ids) {
+    const int status = fixture.Response(id).status;
+    kept += fixture.Response(id).body.size();
+    CHECK((status == 500 || status == 502));
+  }
+  CHECK(kept > 0);
+  CHECK(kept <= kMaxBytes);
+}
+
+TEST_CASE("heads of responses without a body take no more than their bound")
+{
+  constexpr std::size_t kRequests = 600;
+  constexpr std::size_t kMaxBytes = 24 * 1024 * 1024;
+  const net::Headers large = { { "large", std::string(60'000, 'x') } };
+  Fixture fixture;
+  std::size_t most = 0;
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    const std::size_t send = fixture.client.sent.size();
+    fixture.Request("unsafe");
+    REQUIRE(fixture.client.sent.size() == send + 1);
+    fixture.client.Head(send, fixture.Head(200, large));
+    most = std::max(most, fixture.client.Open() * large[0].second.size());
+  }
+  CHECK(most <= kMaxBytes);
+}
+
 TEST_CASE("a body that trickles without end is answered at the deadline")
 {
   for (const std::string route : { "unsafe", "safe", "stream" }) {
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -44,6 +44,9 @@
                      "Upstreams that state a limit on their requests" },
   MetricDescription{ "hibiscusnotch_unsent_bytes",
                      "Bytes held for callers that have not read them" },
+  MetricDescription{ "hibiscusnotch_buffered_response_bytes",
+                     "Memory of upstreams' responses until they are passed "
+                     "on" },
   MetricDescription{ "hibiscusnotch_unreadable_objects",
                      "Objects of the store that cannot be read and are "
                      "ignored" },
--- a/src/hibiscusnotch/relay/event_splitter.cpp
+++ b/src/hibiscusnotch/relay/event_splitter.cpp
@@ -14,6 +14,8 @@
 // Without it a block is a comment, which keeps a connection open.
 constexpr std::string_view kDataField = "data";
 
+// A buffer of this size is given back once most of it is passed on.
+constexpr std::size_t kMaxIdleBytes = 4096;
 // An event ends with two line ends, of which the second has two bytes at most.
 constexpr std::size_t kMaxSplitEnd = 2;
 
@@ -72,6 +74,9 @@
   }
   std::string events = partial_.substr(0, complete);
   partial_.erase(0, complete);
+  if (partial_.capacity() > std::max(kMaxIdleBytes, 2 * partial_.size())) {
+    partial_.shrink_to_fit();
+  }
   return events;
 }
 
