Hold a request's body once while it is sent

Cause, one of two: a body was held by the request, for a retry, and once more in the message of each connection that it was sent on, also after it was written.

Change: connections share the request's body and send it after the message; short ones are still written together with it.

Result: request_router_test, both sends of a request refer to one body (the former message held a copy).

--- a/include/hibiscusnotch/entry/header_codec.hpp
+++ b/include/hibiscusnotch/entry/header_codec.hpp
@@ -97,12 +97,12 @@
 
   virtual RequestMetadata ReadRequest(
     const net::HttpRequest& aRequest) const = 0;
-  /// @brief The complete request message for the upstream.
+  /// @brief The message for the upstream, up to the request's body.
   virtual std::string WriteUpstreamRequest(
     const net::HttpRequest& aRequest,
     const AttemptMetadata& aMetadata) const = 0;
-  /// @brief The complete message for an instance that sends the request to an
-  /// upstream in this one's place.
+  /// @brief The message, up to the request's body, for an instance that sends
+  /// the request to an upstream in this one's place.
   virtual std::string WriteForwardedRequest(
     const net::HttpRequest& aRequest,
     const ForwardMetadata& aMetadata) const = 0;
--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -37,7 +37,10 @@
 struct OutboundCall
 {
   core::Endpoint to;
-  std::string message; ///< The serialised request.
+  std::string message; ///< The serialised request, up to its body.
+  /// @brief Sent after the message, if given; shared with who may send it
+  /// again.
+  std::shared_ptr<const std::string> body;
   Duration connectTimeout{ 300'000 };
   /// @brief After this time without a received byte, a second connection
   /// probes whether the peer is reachable; zero disables the probe.
--- a/src/hibiscusnotch/entry/exchange.hpp
+++ b/src/hibiscusnotch/entry/exchange.hpp
@@ -15,6 +15,7 @@
 #include "hibiscusnotch/routing/wait_queue.hpp"
 
 #include <compare>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -75,7 +76,7 @@
 struct Exchange
 {
   ExchangeKey key;
-  net::HttpRequest request;
+  std::shared_ptr<const net::HttpRequest> request; ///< Its sends share it.
   RequestMetadata metadata;
   routing::Route route; ///< Copied when last matched.
   std::string organisation;
--- a/src/hibiscusnotch/entry/forward_call.cpp
+++ b/src/hibiscusnotch/entry/forward_call.cpp
@@ -42,8 +42,9 @@
   relay::OutboundCall call;
   call.to = aPeer.ForwardEndpoint();
   call.message =
-    aHeaderCodec.WriteForwardedRequest(aExchange.request, metadata);
-  call.bodyless = aExchange.request.method == "HEAD";
+    aHeaderCodec.WriteForwardedRequest(*aExchange.request, metadata);
+  call.body = { aExchange.request, &aExchange.request->body };
+  call.bodyless = aExchange.request->method == "HEAD";
   call.connectTimeout = kForwardConnectTimeout;
   call.probeAfterSilence = SilenceLimit(aExchange);
   call.maxSilence = MaxSilence(aExchange);
--- a/src/hibiscusnotch/entry/request_router.cpp
+++ b/src/hibiscusnotch/entry/request_router.cpp
@@ -117,10 +117,11 @@
                         ForwardedCount() >= kMaxForwardedRequests;
     Exchange& exchange = exchanges_[key];
     exchange.key = key;
-    exchange.request = std::move(aRequest);
-    exchange.metadata = headerCodec_.ReadRequest(exchange.request);
+    exchange.request =
+      std::make_shared<const net::HttpRequest>(std::move(aRequest));
+    exchange.metadata = headerCodec_.ReadRequest(*exchange.request);
     exchange.arrivedAt = timers_.Now();
-    exchange.traits = TraitsOf(exchange.request, exchange.metadata);
+    exchange.traits = TraitsOf(*exchange.request, exchange.metadata);
     if (aOrigin == RequestOrigin::Instance) {
       exchange.executions = exchange.metadata.forwardedExecutions;
     }
@@ -427,8 +428,9 @@
     relay::OutboundCall call;
     call.to = upstream.entry.endpoint;
     call.message =
-      headerCodec_.WriteUpstreamRequest(aExchange.request, metadata);
-    call.bodyless = aExchange.request.method == "HEAD";
+      headerCodec_.WriteUpstreamRequest(*aExchange.request, metadata);
+    call.body = { aExchange.request, &aExchange.request->body };
+    call.bodyless = aExchange.request->method == "HEAD";
     call.connectTimeout = ConnectTimeout(aExchange);
     call.probeAfterSilence = SilenceLimit(aExchange);
     call.maxSilence = MaxSilence(aExchange);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -314,6 +314,22 @@
   CHECK(fixture.Response(id).Header("seal") == "s");
 }
 
+TEST_CASE("a request's body is held once, also by its sends")
+{
+  // Guards against a process that long bodies end since each is held again by
+  // the connection that it was sent on.
+  Fixture fixture;
+  const auto id = fixture.Request("safe");
+  fixture.Reply(0, 500);
+  REQUIRE(fixture.client.sent.size() == 2);
+  const auto& first = fixture.client.sent[0].call;
+  const auto& second = fixture.client.sent[1].call;
+  REQUIRE(first.body);
+  CHECK(*first.body == "body" + std::to_string(id));
+  CHECK(first.body == second.body);
+  CHECK_FALSE(Contains(first.message, *first.body));
+}
+
 TEST_CASE("a slow idempotent request is retried at another upstream")
 {
   // Guards against upstreams that hang on some requests while their health
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -241,6 +241,29 @@
   CHECK(fixture.client->Open() == 0);
 }
 
+TEST_CASE("a body of any length follows its message")
+{
+  for (const std::size_t length : { 0, 5, 16'384, 16'385, 900'000 }) {
+    Fixture fixture;
+    std::optional<CallOutcome> end;
+    OutboundCall call;
+    call.to = { "127.0.0.1", fixture.listener->Port() };
+    call.message = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                   std::to_string(length) + "\r\n\r\n";
+    call.body = std::make_shared<const std::string>(length, 'x');
+    fixture.client->Start(
+      call,
+      { [](const ResponseHead&) {},
+        [](std::string_view) {},
+        [&](CallOutcome aEnd, std::string_view) { end = aEnd; } });
+    REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+    CHECK(fixture.requests[0].second.body == *call.body);
+    fixture.Respond(fixture.requests[0].first, "hello");
+    REQUIRE(fixture.RunUntil([&] { return end.has_value(); }));
+    CHECK(end == CallOutcome::Complete);
+  }
+}
+
 TEST_CASE("a response that is written once more reaches no other call")
 {
   // Guards against a refusal of an earlier request that is taken for the answer
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -24,6 +24,9 @@
 // What processes say of themselves is shorter.
 constexpr std::size_t kMaxLivenessBytes = 64 * 1024;
 
+// Sent together with the message in one call of the system.
+constexpr std::size_t kMaxJoinedBodyBytes = 16 * 1024;
+
 // Far more than there are upstreams.
 constexpr std::size_t kMaxTrackedPeers = 4096;
 
@@ -44,7 +47,8 @@
 
   tcp::socket socket;
   std::string out;
-  std::size_t written = 0;
+  std::shared_ptr<const std::string> body; ///< Follows `out`, if not null.
+  std::size_t written = 0;                 ///< Of what is being sent.
   std::string in;
   std::unique_ptr<ResponseReader> reader;
   CallObserver observer;
@@ -98,6 +102,11 @@
     const CallId id = ++lastId_;
     PendingCall& pending = calls_.try_emplace(id, context_).first->second;
     pending.out = std::move(aCall.message);
+    if (aCall.body && aCall.body->size() <= kMaxJoinedBodyBytes) {
+      pending.out += *aCall.body;
+    } else {
+      pending.body = std::move(aCall.body);
+    }
     pending.reader = MakeResponseReader(aCall.bodyless);
     pending.observer = std::move(aObserver);
     pending.probeAfterSilence = aCall.probeAfterSilence;
@@ -232,8 +241,16 @@
       return;
     }
     boost::system::error_code error;
-    const bool allWritten =
+    bool allWritten =
       WriteSome(pending->socket, pending->out, pending->written, error);
+    if (allWritten && pending->body) {
+      if (!pending->out.empty()) {
+        pending->out = {};
+        pending->written = 0;
+      }
+      allWritten =
+        WriteSome(pending->socket, *pending->body, pending->written, error);
+    }
     if (error) {
       // Reading goes on: an upstream may reject a request, and close, before
       // it has read all of it.
