Bound the bodies of requests together, before they are read

Cause, the other of two: each body is bounded, all together were not.

Without room the listener stops reading, admits bodies in the order of arrival, and refuses one after 2 s with 503 and Retry-After. Short requests do not wait. The room is free again when the response has ended. E744 says when bodies begin to wait, and a gauge shows what is held.

--- a/include/hibiscusnotch/core/log_event.hpp
+++ b/include/hibiscusnotch/core/log_event.hpp
@@ -78,6 +78,7 @@
   RequestQueued = 741,
   SlowReaderEnded = 742,
   WatchLost = 743,
+  BodiesWait = 744,
   ObjectUnreadable = 722,
 };
 
--- a/include/hibiscusnotch/entry/entry_node.hpp
+++ b/include/hibiscusnotch/entry/entry_node.hpp
@@ -38,6 +38,9 @@
   RouterOptions router;
   /// @brief Unsent bytes of all responses together; zero for no bound.
   std::size_t unsentBudgetBytes = 0;
+  /// @brief Bytes of request bodies together, of callers and instances; zero
+  /// for no bound.
+  std::size_t bodyBudgetBytes = 0;
   FleetSyncOptions sync;
 };
 
--- a/include/hibiscusnotch/observe/metrics.hpp
+++ b/include/hibiscusnotch/observe/metrics.hpp
@@ -37,6 +37,7 @@
   LimitedUpstreams,
   UnsentBytes,
   BufferedResponseBytes,
+  RequestBodyBytes,
   UnreadableObjects,
 };
 
--- a/include/hibiscusnotch/relay/http_reader.hpp
+++ b/include/hibiscusnotch/relay/http_reader.hpp
@@ -41,6 +41,13 @@
   virtual net::HttpRequest TakeRequest() = 0;
   /// @brief True if the header is complete and the body is not.
   virtual bool WaitsForBody() const = 0;
+  /// @brief The most bytes that the body may have: its stated length, or the
+  /// limit.
+  virtual std::size_t MaxBodyBytes() const = 0;
+  /// @brief Bytes of the body that have been read.
+  virtual std::size_t ReadBodyBytes() const = 0;
+  /// @brief True if the head states the body's length.
+  virtual bool HasBodyLength() const = 0;
   /// @brief True if the last request taken allows a persistent connection.
   virtual bool KeepAlive() const = 0;
   /// @brief True if the client awaits 100 Continue before it sends the body.
--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -4,6 +4,7 @@
 
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/relay/bind.hpp"
+#include "hibiscusnotch/relay/body_budget.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
 #include "hibiscusnotch/relay/descriptor_reserve.hpp"
 #include "hibiscusnotch/relay/http_reader.hpp"
@@ -86,12 +87,15 @@
 /// @param aBudget Bounds the unsent bytes, if given; must outlive the listener.
 /// @param aReserve Keeps the process able to answer without descriptors, if
 /// given; must outlive the listener.
+/// @param aBodies Bounds the bodies of requests from their first byte to the
+/// end of their response, if given; must outlive the listener.
 std::unique_ptr<Listener>
 MakeListener(boost::asio::io_context& aContext,
              Timers& aTimers,
              ListenerOptions aOptions,
              ListenerObserver aObserver,
              UnsentBudget* aBudget = nullptr,
-             DescriptorReserve* aReserve = nullptr);
+             DescriptorReserve* aReserve = nullptr,
+             BodyBudget* aBodies = nullptr);
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/core/log_event.cpp
+++ b/src/hibiscusnotch/core/log_event.cpp
@@ -102,6 +102,7 @@
                     "upstream_load_unreadable" },
   EventDescription{ RequestQueued, LogLevel::Info, "request_queued" },
   EventDescription{ SlowReaderEnded, LogLevel::Warning, "slow_reader_ended" },
+  EventDescription{ BodiesWait, LogLevel::Warning, "bodies_wait" },
   EventDescription{ WatchLost, LogLevel::Warning, "watch_lost" },
 };
 
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -115,13 +115,20 @@
                      "bytes=" + std::to_string(aEnded.bytes) + " unread_ms=" +
                        std::to_string(aEnded.unread.count() / 1000));
         })
+    , bodyBudget_(options_.bodyBudgetBytes,
+                  [this] {
+                    log_.Write(EventNumber::BodiesWait,
+                               "held=" +
+                                 std::to_string(bodyBudget_.HeldBytes()));
+                  })
     , callerListener_(
         relay::MakeListener(aContext,
                             *timers_,
                             ListenerOptionsFor(options_.callerEndpoint),
                             RequestObserver(RequestOrigin::Caller),
                             &unsentBudget_,
-                            &reserve_))
+                            &reserve_,
+                            &bodyBudget_))
     , forwardListener_(relay::MakeListener(
         aContext,
         *timers_,
@@ -129,7 +136,8 @@
           InstanceInfo{ options_.peerEndpoint, {}, 0 }.ForwardEndpoint()),
         RequestObserver(RequestOrigin::Instance),
         &unsentBudget_,
-        &reserve_))
+        &reserve_,
+        &bodyBudget_))
     , readinessListener_(
         relay::MakeListener(aContext,
                             *timers_,
@@ -388,6 +396,8 @@
                   static_cast<double>(router_->OpenRequestCount()));
     metrics_->Set(observe::Gauge::BufferedResponseBytes,
                   static_cast<double>(router_->BufferedBytes()));
+    metrics_->Set(observe::Gauge::RequestBodyBytes,
+                  static_cast<double>(bodyBudget_.HeldBytes()));
     metrics_->Set(observe::Gauge::LiveInstances,
                   static_cast<double>(fleet_.InstanceCount()));
     if (fleet_.configuration) {
@@ -440,6 +450,7 @@
   std::unique_ptr<store::ObjectStore> store_;
   std::unique_ptr<RequestRouter> router_;
   relay::UnsentBudget unsentBudget_;
+  relay::BodyBudget bodyBudget_;
   std::unique_ptr<relay::Listener> callerListener_;
   std::unique_ptr<relay::Listener> forwardListener_;
   std::unique_ptr<relay::Listener> readinessListener_;
--- a/src/hibiscusnotch/observe/metrics.cpp
+++ b/src/hibiscusnotch/observe/metrics.cpp
@@ -47,6 +47,8 @@
   MetricDescription{ "hibiscusnotch_buffered_response_bytes",
                      "Memory of upstreams' responses until they are passed "
                      "on" },
+  MetricDescription{ "hibiscusnotch_request_body_bytes",
+                     "Bytes of the bodies of open requests" },
   MetricDescription{ "hibiscusnotch_unreadable_objects",
                      "Objects of the store that cannot be read and are "
                      "ignored" },
--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -86,10 +86,13 @@
     aError = {};
     headerDone = true;
   }
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
                          error_code& aError) override
   {
     aError = {};
+    if (IsRequest && aLength) {
+      body.reserve(static_cast<std::size_t>(*aLength)); // within the limit
+    }
   }
   std::size_t on_body_impl(View aBody, error_code& aError) override
   {
@@ -196,6 +199,17 @@
   {
     return parser_->headerDone && !parser_->is_done();
   }
+  std::size_t MaxBodyBytes() const override
+  {
+    return HasBodyLength()
+             ? static_cast<std::size_t>(*parser_->content_length())
+             : limits_.maxBodyBytes;
+  }
+  std::size_t ReadBodyBytes() const override { return parser_->body.size(); }
+  bool HasBodyLength() const override
+  {
+    return parser_->content_length().has_value();
+  }
   bool KeepAlive() const override { return keepAlive_; }
   bool ExpectsContinue() const override
   {
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -29,6 +29,11 @@
   "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
   "Content-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+// Shorter bodies are not worth waiting for; those of many requests do not fill
+// memory.
+constexpr std::size_t kMaxUnboundedBodyBytes = 16 * 1024;
+// Longer than bodies take to be passed on, shorter than callers wait.
+constexpr Duration kMaxBodyWait{ 2'000'000 };
 // Sent bytes at the front of a buffer are dropped from this size on, and empty
 // buffers of this size are freed.
 constexpr std::size_t kMaxIdleBufferBytes = 64 * 1024;
@@ -71,6 +76,8 @@
   bool bodyStarted = false;
   TimerId timer = 0;
   std::optional<UnsentBudget::HolderId> holder; ///< While bytes are unsent.
+  std::size_t bodyBytes = 0; ///< Taken from the budget of bodies.
+  std::optional<BodyBudget::WaiterId> bodyWaiter; ///< Does not read meanwhile.
 };
 
 /// True if a failed accept concerns the one connection that it removed from the
@@ -111,12 +118,14 @@
               ListenerOptions aOptions,
               ListenerObserver aObserver,
               UnsentBudget* aBudget,
-              DescriptorReserve* aReserve)
+              DescriptorReserve* aReserve,
+              BodyBudget* aBodies)
     : timers_(aTimers)
     , options_(std::move(aOptions))
     , observer_(std::move(aObserver))
     , budget_(aBudget)
     , reserve_(aReserve)
+    , bodies_(aBodies)
     , acceptor_(aContext)
     , context_(aContext)
   {
@@ -143,6 +152,7 @@
     for (auto& [id, connection] : connections_) {
       timers_.Cancel(connection.timer);
       ReleaseUnsent(connection);
+      ReleaseBody(connection);
     }
   }
 
@@ -206,6 +216,7 @@
     }
     const ConnectionId id = ConnectionOf(aId);
     --openExchanges_;
+    ReleaseBody(*connection);
     connection->responseStarted = false;
     connection->chunked = false;
     if (connection->closeAfterResponse) {
@@ -423,7 +434,8 @@
 
   void AwaitRead(ConnectionId aId, Connection& aConnection)
   {
-    if (aConnection.waitingRead || aConnection.peerClosed) {
+    if (aConnection.waitingRead || aConnection.peerClosed ||
+        aConnection.bodyWaiter) {
       return;
     }
     if (aConnection.phase == Phase::Serving &&
@@ -494,6 +506,9 @@
         connection->phase = Phase::Receiving;
         SetTimer(aId, *connection, options_.headerTimeout);
       }
+      if (connection->reader->WaitsForBody() && !TakeBody(aId, *connection)) {
+        return;
+      }
       if (connection->reader->WaitsForBody() && !connection->bodyStarted) {
         connection->bodyStarted = true;
         SetTimer(aId, *connection, options_.bodyTimeout);
@@ -511,6 +526,7 @@
     }
     timers_.Cancel(std::exchange(connection->timer, 0));
     net::HttpRequest request = connection->reader->TakeRequest();
+    CountBody(*connection, request.body.size());
     connection->closeAfterResponse = !connection->reader->KeepAlive();
     connection->bodyStarted = false;
     connection->phase = Phase::Serving;
@@ -520,11 +536,76 @@
     observer_.onRequest(exchange, std::move(request));
   }
 
+  /// Takes what the request's body may need from the budget; false while it
+  /// waits for that.
+  bool TakeBody(ConnectionId aId, Connection& aConnection)
+  {
+    const RequestReader& reader = *aConnection.reader;
+    const std::size_t expected =
+      reader.HasBodyLength() ? reader.MaxBodyBytes() : reader.ReadBodyBytes();
+    if (!bodies_ || aConnection.bodyBytes > 0 ||
+        expected <= kMaxUnboundedBodyBytes) {
+      return true;
+    }
+    const std::size_t bytes = reader.MaxBodyBytes();
+    if (bodies_->TryTake(bytes)) {
+      aConnection.bodyBytes = bytes;
+      return true;
+    }
+    aConnection.bodyWaiter = bodies_->Wait(bytes, [this, aId, bytes] {
+      if (Connection* connection = Find(aId)) {
+        connection->bodyWaiter.reset();
+        connection->bodyBytes = bytes;
+        SetTimer(aId, *connection, options_.bodyTimeout);
+        // Not from here: the budget still admits others.
+        timers_.After(Duration::zero(),
+                      [this, aId, alive = std::weak_ptr(alive_)] {
+                        if (!alive.expired()) {
+                          Parse(aId);
+                        }
+                      });
+      }
+    });
+    aConnection.bodyStarted = true;
+    SetTimer(aId, aConnection, kMaxBodyWait);
+    return false;
+  }
+
+  /// Counts the body that was received in place of what it might have needed.
+  void CountBody(Connection& aConnection, std::size_t aBytes)
+  {
+    if (bodies_) {
+      bodies_->Take(aBytes);
+      bodies_->Release(std::exchange(aConnection.bodyBytes, aBytes));
+    }
+  }
+
+  void ReleaseBody(Connection& aConnection)
+  {
+    if (bodies_ && aConnection.bodyWaiter) {
+      bodies_->CancelWait(*std::exchange(aConnection.bodyWaiter, std::nullopt));
+    }
+    if (bodies_ && aConnection.bodyBytes > 0) {
+      bodies_->Release(std::exchange(aConnection.bodyBytes, 0));
+    }
+  }
+
   void Reject(ConnectionId aId, Connection& aConnection, int aStatus)
   {
-    aConnection.out += "HTTP/1.1 " + std::to_string(aStatus) + ' ' +
-                       std::string(ReasonPhrase(aStatus)) +
-                       "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    Reject(aId,
+           aConnection,
+           "HTTP/1.1 " + std::to_string(aStatus) + ' ' +
+             std::string(ReasonPhrase(aStatus)) +
+             "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  }
+
+  void Reject(ConnectionId aId,
+              Connection& aConnection,
+              std::string_view aResponse)
+  {
+    ReleaseBody(aConnection);
+    aConnection.reader = MakeRequestReader(options_.limits);
+    aConnection.out += aResponse;
     aConnection.closeAfterResponse = true;
     aConnection.phase = Phase::Lingering;
     aConnection.in.clear();
@@ -545,6 +626,10 @@
       return;
     }
     connection->timer = 0;
+    if (connection->bodyWaiter) {
+      Reject(aId, *connection, kRefusal);
+      return;
+    }
     if (connection->phase == Phase::Receiving) {
       constexpr int kRequestTimeout = 408;
       Reject(aId, *connection, kRequestTimeout);
@@ -653,6 +738,7 @@
     Connection& connection = node.mapped();
     timers_.Cancel(connection.timer);
     ReleaseUnsent(connection);
+    ReleaseBody(connection);
     boost::system::error_code ignored;
     if (aReset) {
       connection.socket.set_option(boost::asio::socket_base::linger(true, 0),
@@ -673,6 +759,7 @@
   ListenerObserver observer_;
   UnsentBudget* budget_;
   DescriptorReserve* reserve_;
+  BodyBudget* bodies_;
   DescriptorReserve::SourceId source_ = 0;
   TimerId acceptTimer_ = 0;
   tcp::acceptor acceptor_;
@@ -694,14 +781,16 @@
              ListenerOptions aOptions,
              ListenerObserver aObserver,
              UnsentBudget* aBudget,
-             DescriptorReserve* aReserve)
+             DescriptorReserve* aReserve,
+             BodyBudget* aBodies)
 {
   return std::make_unique<TcpListener>(aContext,
                                        aTimers,
                                        std::move(aOptions),
                                        std::move(aObserver),
                                        aBudget,
-                                       aReserve);
+                                       aReserve,
+                                       aBodies);
 }
 
 } // namespace hibiscusnotch::relay
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusnotch/relay/listener.hpp"
 #include "hibiscusnotch/relay/outbound_client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +9,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <optional>
+#include <sstream>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -33,7 +35,7 @@
   std::unique_ptr<Listener> listener;
   tcp::socket socket{ context };
 
-  explicit Fixture(ListenerOptions aOptions = {})
+  explicit Fixture(ListenerOptions aOptions = {}, BodyBudget* aBodies = nullptr)
   {
     aOptions.endpoint = { "127.0.0.1", 0 };
     listener =
@@ -44,7 +46,10 @@
                       requests.emplace_back(aId, std::move(aRequest));
                     },
                      [this](ExchangeId aId) { disconnected.push_back(aId); },
-                     [](ExchangeId) {} });
+                     [](ExchangeId) {} },
+                   nullptr,
+                   nullptr,
+                   aBodies);
   }
 
   template<class Condition>
@@ -264,6 +269,116 @@
   }
 }
 
+namespace {
+
+/// Requests with long bodies, each on a connection of its own.
+struct LongRequests
+{
+  Fixture& fixture;
+  std::vector<std::optional<int>> statuses;
+
+  void Send(std::size_t aLength, const std::string& aHead)
+  {
+    const std::size_t index = statuses.size();
+    statuses.emplace_back();
+    OutboundCall call;
+    call.to = { "127.0.0.1", fixture.listener->Port() };
+    call.message = "POST / HTTP/1.1\r\nHost: h\r\n" + aHead + "\r\n";
+    call.body = std::make_shared<const std::string>(aLength, 'x');
+    fixture.client->Start(call,
+                          { [this, index](const ResponseHead& aHead) {
+                             statuses[index] = aHead.status;
+                           },
+                            [](std::string_view) {},
+                            [](CallOutcome, std::string_view) {} });
+  }
+
+  std::size_t Answered() const
+  {
+    return static_cast<std::size_t>(std::ranges::count_if(
+      statuses, [](const auto& aStatus) { return aStatus.has_value(); }));
+  }
+};
+
+std::string
+LengthField(std::size_t aLength)
+{
+  return "Content-Length: " + std::to_string(aLength) + "\r\n";
+}
+
+} // namespace
+
+TEST_CASE("long bodies of many requests wait for their turn, unread")
+{
+  // Guards against a process that many long bodies at once, each of them
+  // allowed, end over its memory.
+  constexpr std::size_t kLength = 600'000;
+  constexpr std::size_t kRequests = 12;
+  int exhausted = 0;
+  BodyBudget budget(2 * kLength, [&] { ++exhausted; });
+  Fixture fixture({}, &budget);
+  LongRequests sent{ fixture, {} };
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    sent.Send(kLength, LengthField(kLength));
+  }
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    REQUIRE(
+      fixture.RunUntil([&] { return fixture.requests.size() > request; }));
+    int rounds = 0; // in which a third one would arrive
+    fixture.RunUntil(
+      [&] { return ++rounds > 20 || fixture.requests.size() > request + 2; });
+    CHECK(fixture.requests.size() <= request + 2); // two fit at once
+    CHECK(budget.HeldBytes() <= 2 * kLength);
+    CHECK(fixture.requests[request].second.body.size() == kLength);
+    fixture.Respond(fixture.requests[request].first, "done");
+    fixture.requests[request].second = {};
+  }
+  REQUIRE(fixture.RunUntil([&] { return sent.Answered() == kRequests; }));
+  for (const auto& status : sent.statuses) {
+    CHECK(status == 200);
+  }
+  CHECK(exhausted >= 1);
+  CHECK(budget.HeldBytes() == 0);
+}
+
+TEST_CASE("a long body without room is refused in time, a short one is served")
+{
+  constexpr std::size_t kLength = 600'000;
+  BodyBudget budget(kLength, [] {});
+  Fixture fixture({}, &budget);
+  LongRequests sent{ fixture, {} };
+  sent.Send(kLength, LengthField(kLength));
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+  sent.Send(kLength, LengthField(kLength));
+  sent.Send(5, LengthField(5));
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 2; }));
+  CHECK(fixture.requests[1].second.body.size() == 5);
+  fixture.Respond(fixture.requests[1].first, "short");
+  REQUIRE(fixture.RunUntil([&] { return sent.Answered() == 2; }));
+  CHECK(sent.statuses[1] == 503);
+  CHECK(sent.statuses[2] == 200);
+  fixture.Respond(fixture.requests[0].first, "long");
+  REQUIRE(fixture.RunUntil([&] { return sent.Answered() == 3; }));
+  CHECK(budget.HeldBytes() == 0);
+  CHECK(budget.WaitingCount() == 0);
+}
+
+TEST_CASE("a body without a stated length takes room once it is long")
+{
+  constexpr std::size_t kLength = 300'000;
+  BodyBudget budget(1'500'000, [] {});
+  Fixture fixture({}, &budget);
+  LongRequests sent{ fixture, {} };
+  const auto send = [&](std::size_t aLength) {
+    std::ostringstream size;
+    size << std::hex << aLength;
+    sent.Send(aLength, "Transfer-Encoding: chunked\r\n\r\n" + size.str());
+  };
+  send(kLength);
+  REQUIRE(fixture.RunUntil([&] { return budget.HeldBytes() > 0; }));
+  CHECK(budget.HeldBytes() == RequestLimits().maxBodyBytes);
+}
+
 TEST_CASE("a response that is written once more reaches no other call")
 {
   // Guards against a refusal of an earlier request that is taken for the answer
