Bound unsent bytes wherever a memory limit is stated, and to mirrors' readers

Cause: the budget of unsent bytes was in force under the contract `pressure` alone, and the listener that peers read mirrors from had none.

Change: the budget is in force wherever the settings state a memory limit, also for mirrors' readers. What belongs to that contract stays with it: small buffers of the kernel, and upstreams that are paused late.

--- a/include/hibiscusnotch/relay/listener.hpp
+++ b/include/hibiscusnotch/relay/listener.hpp
@@ -29,6 +29,9 @@
   /// @brief Its connections are served also from the descriptors that are held
   /// back: for few short exchanges, such as readiness checks.
   bool usesReserve = false;
+  /// @brief Keeps the kernel's buffers of unsent bytes small, where these count
+  /// as memory of the process.
+  bool smallSendBuffers = false;
   /// @brief How long to wait, blocking, for the endpoint to be free.
   Duration bindTimeout = kMaxBindWait;
 };
--- a/include/hibiscusnotch/relay/unsent_budget.hpp
+++ b/include/hibiscusnotch/relay/unsent_budget.hpp
@@ -44,7 +44,6 @@
   /// is exceeded.
   void SetHeld(HolderId aHolder, std::size_t aBytes, TimePoint aNow);
 
-  bool IsBounded() const { return limit_ > 0; }
   std::size_t HeldBytes() const { return held_; }
   uint64_t EndedCount() const { return endedCount_; }
 
--- a/include/hibiscusnotch/store/mirror_server.hpp
+++ b/include/hibiscusnotch/store/mirror_server.hpp
@@ -5,6 +5,7 @@
 #include "hibiscusnotch/core/settings.hpp"
 #include "hibiscusnotch/relay/clock.hpp"
 #include "hibiscusnotch/relay/descriptor_reserve.hpp"
+#include "hibiscusnotch/relay/unsent_budget.hpp"
 #include "hibiscusnotch/store/mirror.hpp"
 
 #include <memory>
@@ -38,10 +39,13 @@
 };
 
 /// @brief Starts to listen; throws if the endpoint cannot be bound.
+/// @param aBudget Bounds what peers have not read, if given; must outlive the
+/// server.
 std::unique_ptr<MirrorServer>
 MakeMirrorServer(boost::asio::io_context& aContext,
                  relay::Timers& aTimers,
                  core::Endpoint aEndpoint,
+                 relay::UnsentBudget* aBudget = nullptr,
                  relay::DescriptorReserve* aReserve = nullptr);
 
 } // namespace hibiscusnotch::store
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -124,7 +124,7 @@
     , callerListener_(
         relay::MakeListener(aContext,
                             *timers_,
-                            ListenerOptionsFor(options_.callerEndpoint),
+                            ExchangeOptionsFor(options_.callerEndpoint),
                             RequestObserver(RequestOrigin::Caller),
                             &unsentBudget_,
                             &reserve_,
@@ -132,7 +132,7 @@
     , forwardListener_(relay::MakeListener(
         aContext,
         *timers_,
-        ListenerOptionsFor(
+        ExchangeOptionsFor(
           InstanceInfo{ options_.peerEndpoint, {}, 0 }.ForwardEndpoint()),
         RequestObserver(RequestOrigin::Instance),
         &unsentBudget_,
@@ -148,6 +148,7 @@
     , mirrors_(store::MakeMirrorServer(aContext,
                                        *timers_,
                                        options_.peerEndpoint,
+                                       &unsentBudget_,
                                        &reserve_))
     , mirroredStore_(store::MakeMirroredStore(
         *store_,
@@ -251,6 +252,15 @@
     } };
   }
 
+  /// For listeners of requests.
+  relay::ListenerOptions ExchangeOptionsFor(
+    const core::Endpoint& aEndpoint) const
+  {
+    relay::ListenerOptions options = ListenerOptionsFor(aEndpoint);
+    options.smallSendBuffers = options_.router.memoryPressure;
+    return options;
+  }
+
   store::MirroredStoreObserver StoreObserver()
   {
     return { [this] { return SourcePeers(); },
--- a/src/hibiscusnotch/entry/slow_reader_test.cpp
+++ b/src/hibiscusnotch/entry/slow_reader_test.cpp
@@ -257,6 +257,7 @@
   relay::UnsentBudget budget(kBudget, {});
   relay::ListenerOptions options;
   options.endpoint = { "127.0.0.1", 0 };
+  options.smallSendBuffers = true;
   const auto listener = relay::MakeListener(
     context,
     *timers,
--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -38,7 +38,7 @@
 // buffers of this size are freed.
 constexpr std::size_t kMaxIdleBufferBytes = 64 * 1024;
 
-// Of each client's socket if unsent bytes are bounded: the kernel's buffers
+// Of each client's socket if these are to be small: the kernel's buffers
 // take the machine's memory too and grow to megabytes for each slow client. It
 // is doubled by the kernel, and enough for 30 MB/s at a round trip of 1 ms.
 constexpr int kBoundedSendBufferBytes = 16 * 1024;
@@ -393,7 +393,7 @@
   {
     PrepareSocket(aSocket);
     boost::system::error_code ignored;
-    if (budget_ && budget_->IsBounded()) {
+    if (options_.smallSendBuffers) {
       aSocket.set_option(
         boost::asio::socket_base::send_buffer_size(kBoundedSendBufferBytes),
         ignored);
--- a/src/hibiscusnotch/store/mirror_server.cpp
+++ b/src/hibiscusnotch/store/mirror_server.cpp
@@ -17,6 +17,7 @@
   HttpMirrorServer(boost::asio::io_context& aContext,
                    relay::Timers& aTimers,
                    core::Endpoint aEndpoint,
+                   relay::UnsentBudget* aBudget,
                    relay::DescriptorReserve* aReserve)
     : responder_(
         aTimers,
@@ -35,7 +36,7 @@
        },
         [this](ExchangeId aId) { responder_.Forget(aId); },
         [](ExchangeId) {} },
-      nullptr,
+      aBudget,
       aReserve);
   }
 
@@ -79,10 +80,11 @@
 MakeMirrorServer(boost::asio::io_context& aContext,
                  relay::Timers& aTimers,
                  core::Endpoint aEndpoint,
+                 relay::UnsentBudget* aBudget,
                  relay::DescriptorReserve* aReserve)
 {
   return std::make_unique<HttpMirrorServer>(
-    aContext, aTimers, std::move(aEndpoint), aReserve);
+    aContext, aTimers, std::move(aEndpoint), aBudget, aReserve);
 }
 
 } // namespace hibiscusnotch::store
