Take the limits in force when a request arrives on a kept connection

Cause: the reader of a connection's next request was made with the limits at the end of the former one, and the first one at the connect. The timer of an idle connection kept its former time in the same way.

Change: a reader that has read nothing is made anew when the limits have changed, and timers of idle connections are set anew when the idle time has. A request whose head has begun keeps its limits.

Two cases of loopback_test fail before.

--- a/src/hibiscusnotch/relay/listener.cpp
+++ b/src/hibiscusnotch/relay/listener.cpp
@@ -63,6 +63,7 @@
   std::string out;
   std::size_t written = 0;
   std::unique_ptr<RequestReader> reader;
+  uint64_t limitsVersion = 0; ///< Of the reader's limits.
   Phase phase = Phase::Idle;
   TimePoint idleSince{};
   ExchangeId exchange = 0;
@@ -229,7 +230,7 @@
     connection->idleSince = timers_.Now();
     Flush(id);
     if (Connection* still = Find(id)) {
-      still->reader = MakeRequestReader(options_.limits);
+      StartReader(*still);
       still->continueSent = false;
       Parse(id);
     }
@@ -253,9 +254,25 @@
   void SetOptions(const ListenerOptions& aOptions) override
   {
     options_.limits = aOptions.limits;
+    ++limitsVersion_;
     options_.headerTimeout = aOptions.headerTimeout;
     options_.bodyTimeout = aOptions.bodyTimeout;
+    if (options_.idleTimeout == aOptions.idleTimeout) {
+      return;
+    }
     options_.idleTimeout = aOptions.idleTimeout;
+    if (draining_) {
+      return; // closes idle connections sooner
+    }
+    for (auto& [id, connection] : connections_) {
+      if (connection.phase == Phase::Idle) {
+        SetTimer(id,
+                 connection,
+                 std::max(Duration::zero(),
+                          connection.idleSince + options_.idleTimeout -
+                            timers_.Now()));
+      }
+    }
   }
 
   void Drain() override
@@ -401,7 +418,7 @@
     const ConnectionId id = ++lastConnection_;
     Connection& connection =
       connections_.try_emplace(id, std::move(aSocket)).first->second;
-    connection.reader = MakeRequestReader(options_.limits);
+    StartReader(connection);
     connection.exchange = id << kExchangeBits;
     connection.idleSince = timers_.Now();
     SetTimer(id, connection, options_.idleTimeout);
@@ -492,6 +509,9 @@
       return;
     }
     const bool wasIdle = connection->phase == Phase::Idle;
+    if (wasIdle && connection->limitsVersion != limitsVersion_) {
+      StartReader(*connection); // nothing of the request has been read
+    }
     const ReadState state = connection->reader->Read(connection->in);
     if (state == ReadState::Malformed) {
       Reject(aId, *connection, connection->reader->ErrorStatus());
@@ -536,6 +556,12 @@
     observer_.onRequest(exchange, std::move(request));
   }
 
+  void StartReader(Connection& aConnection) const
+  {
+    aConnection.reader = MakeRequestReader(options_.limits);
+    aConnection.limitsVersion = limitsVersion_;
+  }
+
   /// Takes what the request's body may need from the budget; false while it
   /// waits for that.
   bool TakeBody(ConnectionId aId, Connection& aConnection)
@@ -604,7 +630,7 @@
               std::string_view aResponse)
   {
     ReleaseBody(aConnection);
-    aConnection.reader = MakeRequestReader(options_.limits);
+    StartReader(aConnection);
     aConnection.out += aResponse;
     aConnection.closeAfterResponse = true;
     aConnection.phase = Phase::Lingering;
@@ -766,6 +792,7 @@
   boost::asio::io_context& context_;
   std::unordered_map<ConnectionId, Connection> connections_;
   ConnectionId lastConnection_ = 0;
+  uint64_t limitsVersion_ = 0; ///< Changes with the limits.
   std::size_t openExchanges_ = 0;
   bool draining_ = false;
   bool closing_ = false;
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -53,9 +53,10 @@
   }
 
   template<class Condition>
-  bool RunUntil(Condition aCondition)
+  bool RunUntil(Condition aCondition,
+                std::chrono::milliseconds aTime = kMaxRunTime)
   {
-    const auto end = std::chrono::steady_clock::now() + kMaxRunTime;
+    const auto end = std::chrono::steady_clock::now() + aTime;
     while (!aCondition() && std::chrono::steady_clock::now() < end) {
       context.run_for(std::chrono::milliseconds(2));
       context.restart();
@@ -200,6 +201,54 @@
   CHECK(slow.received.starts_with("HTTP/1.1 408 "));
 }
 
+TEST_CASE("a kept connection takes the limits that are in force at a request")
+{
+  // Guards against connections that keep the limits of a former configuration.
+  ListenerOptions options;
+  options.limits.maxBodyBytes = 10;
+  Fixture fixture(options);
+  fixture.Connect();
+  fixture.Send(kGet);
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+  fixture.Respond(fixture.requests[0].first, "one");
+  options.limits.maxBodyBytes = 100;
+  fixture.listener->SetOptions(options);
+  const std::string body(50, 'x');
+  const std::string post =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n";
+  fixture.Send(post + body);
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 2; }));
+  CHECK(fixture.requests[1].second.body == body);
+  // One whose head has arrived keeps the limits of then.
+  fixture.Respond(fixture.requests[1].first, "two");
+  fixture.Send(post);
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.Receive().find("two") != std::string::npos; }));
+  fixture.RunUntil([&] { return false; }, std::chrono::milliseconds(50));
+  options.limits.maxBodyBytes = 10;
+  fixture.listener->SetOptions(options);
+  fixture.Send(body);
+  REQUIRE(fixture.RunUntil([&] { return fixture.requests.size() == 3; }));
+  fixture.Respond(fixture.requests[2].first, "three");
+  fixture.Send(post + body);
+  REQUIRE(fixture.RunUntil(
+    [&] { return fixture.Receive().find("413") != std::string::npos; }));
+}
+
+TEST_CASE("an idle connection takes the idle time of a later configuration")
+{
+  ListenerOptions options;
+  options.idleTimeout = Duration{ 60'000'000 };
+  Fixture fixture(options);
+  fixture.Connect();
+  REQUIRE(
+    fixture.RunUntil([&] { return fixture.listener->OpenConnections() == 1; }));
+  options.idleTimeout = Duration{ 50'000 };
+  fixture.listener->SetOptions(options);
+  CHECK(
+    fixture.RunUntil([&] { return fixture.listener->OpenConnections() == 0; }));
+}
+
 TEST_CASE("a request whose body trickles without end is answered by 408")
 {
   // Guards against clients that hold a connection by single bytes.
