Reject responses whose status is not from 100 to 599

What callers saw: an upstream's status 000 (also 001, 099, 600, 999, and after an interim response) as an answer, "HTTP/1.1 0 OK" with the body.

Cause: Beast's parsers take any three digits, and nothing behind them looked at the range. In the router a status under 100 is a good result (below 500 and not 2xx), so the answer also went to the caller as final, and the upstream and its software version were credited with it.

Change: net::IsValidStatus, which both clients ask when a status line is read, also that of an interim response. To those behind them it is a lost connection without a head, as for any malformed head: the request may have run.

Every reader of answers, and what it does with such a head now: - relay's ResponseReader: malformed, no head. Through it OutboundClient (lost connection) and, of the router, whole answers (502, or another attempt where the request may run again), streams and resumed streams (another attempt), attempts in place of slow ones (alike), other instances' answers (the instance is avoided for a while, another attempt), the error kept for the caller (never kept). Its results: bad for the upstream's health and for the version in a roll-out, no speed, no load, a retry out of the budget. - relay's Fetcher (store, mirrors, other instances' reports): status zero, which only means "no response" now. Liveness checks: no answer, asked again. Reachability probes read no answer. - net's HttpClient: lost connection, not kept.

--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "hibiscusnotch/net/http_client.hpp"
 
+#include "hibiscusnotch/net/message_syntax.hpp"
+
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -328,7 +330,8 @@
       response->body_limit(boost::none);
       const auto [error, bytes] = co_await http::async_read_header(
         aStream, buffer, *response, kAwaitAsTuple);
-      if (!*aAlive || !calls_.contains(aId) || error) {
+      if (!*aAlive || !calls_.contains(aId) || error ||
+          !IsValidStatus(response->get().result_int())) {
         co_return CallOutcome::ConnectionLost;
       }
     } while (IsInterim(*response));
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -1,6 +1,8 @@
 #include "hibiscusnotch/net/http_client.hpp"
 #include "hibiscusnotch/net/http_server.hpp"
 
+#include "hibiscusnotch/testing/concatenate.hpp"
+
 #include <array>
 #include <atomic>
 #include <boost/asio/connect.hpp>
@@ -18,6 +20,7 @@
 using namespace hibiscusnotch;
 using namespace hibiscusnotch::net;
 using boost::asio::ip::tcp;
+using hibiscusnotch::testing::Concatenate;
 
 namespace {
 
@@ -277,13 +280,7 @@
                    result.outcome = aOutcome;
                    result.response = aResponse;
                  });
-    tcp::socket peer(context);
-    RunUntil([&] {
-      boost::system::error_code error;
-      acceptor.accept(peer, error);
-      return peer.is_open();
-    });
-    REQUIRE(peer.is_open());
+    tcp::socket peer = Accept();
     // Read first, so that closing does not reset the connection.
     peer.non_blocking(true);
     std::string request;
@@ -307,6 +304,19 @@
     return result;
   }
 
+  /// Accepts the connection of the call that was sent.
+  tcp::socket Accept()
+  {
+    tcp::socket peer(context);
+    RunUntil([&] {
+      boost::system::error_code error;
+      acceptor.accept(peer, error);
+      return peer.is_open();
+    });
+    REQUIRE(peer.is_open());
+    return peer;
+  }
+
   template<class Condition>
   void RunUntil(Condition aCondition)
   {
@@ -372,6 +382,48 @@
   CHECK(call.response.body == "hello");
 }
 
+// Guards against heads that are no heads and bodies in a form that the caller
+// is not told of. The same rules as in relay/http_reader_test.cpp.
+TEST_CASE("a response that breaks the rules of its syntax is a lost connection")
+{
+  using namespace std::string_literals;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "Content-Length: 5\r\n\r\nhello";
+  const std::string chunks = "\r\n5\r\nhello\r\n0\r\n\r\n";
+  std::vector<std::string> responses;
+  SUBCASE("a status outside 100 to 599")
+  {
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+      responses.push_back(
+        Concatenate({ "HTTP/1.1 ", status, " OK\r\n", body }));
+      responses.push_back("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 " + status +
+                          " OK\r\n\r\nhello");
+    }
+  }
+  for (const std::string& response : responses) {
+    CAPTURE(response);
+    PlainUpstream upstream;
+    CHECK(upstream.Respond(response, false).outcome ==
+          CallOutcome::ConnectionLost);
+  }
+}
+
+TEST_CASE("responses of an odd but allowed form are complete")
+{
+  for (const std::string response :
+       { "HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello",
+         "HTTP/1.0 200 OK\r\n\r\nhello",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+         "5\r\nhello\r\n0\r\nA: b\r\n\r\n",
+         "HTTP/1.1 102 \r\n\r\nHTTP/1.1 299 Odd\r\n\r\nhello" }) {
+    CAPTURE(response);
+    PlainUpstream upstream;
+    const PlainCall call = upstream.Respond(response, false);
+    CHECK(call.outcome == CallOutcome::Complete);
+    CHECK(call.response.body == "hello");
+  }
+}
+
 TEST_CASE("a response that trickles without end is given up in time")
 {
   boost::asio::io_context context;
--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -1,5 +1,7 @@
 #include "hibiscusnotch/relay/http_reader.hpp"
 
+#include "hibiscusnotch/net/message_syntax.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -64,6 +66,10 @@
                         int /*aVersion*/,
                         error_code& aError) override
   {
+    if (!net::IsValidStatus(aCode)) {
+      aError = http::error::bad_status;
+      return;
+    }
     aError = {};
     status = aCode;
     reason.assign(aReason.data(), aReason.size());
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -1,8 +1,11 @@
 #include "hibiscusnotch/relay/http_reader.hpp"
 
+#include "hibiscusnotch/testing/concatenate.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace hibiscusnotch::relay;
+using hibiscusnotch::testing::Concatenate;
 
 namespace {
 
@@ -193,6 +196,71 @@
   }
 }
 
+namespace {
+
+/// True if the response is rejected without a head, wherever its bytes are
+/// split, also once its connection has ended.
+bool
+IsRejectedBeforeItsHead(const std::string& aBytes)
+{
+  for (std::size_t cut = 0; cut <= aBytes.size(); ++cut) {
+    const auto reader = MakeResponseReader(false);
+    std::string buffer = aBytes.substr(0, cut);
+    reader->Read(buffer);
+    buffer += aBytes.substr(cut);
+    reader->Read(buffer);
+    if (reader->ReadEnd() != ReadState::Malformed || reader->HasHead()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// The response's state once all of it was read and its connection has ended.
+ReadState
+StateOfResponse(std::string aBytes)
+{
+  const auto reader = MakeResponseReader(false);
+  const ReadState state = reader->Read(aBytes);
+  return state == ReadState::NeedMore ? reader->ReadEnd() : state;
+}
+
+const std::vector<std::string> kBodyForms{
+  "Content-Length: 5\r\n\r\nhello",
+  "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+  "\r\nhello",
+};
+
+} // namespace
+
+// Guards against a status of three digits that is none, which callers get.
+TEST_CASE("a status outside 100 to 599 is malformed")
+{
+  for (const std::string interim : { "", "HTTP/1.1 102 Processing\r\n\r\n" }) {
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+      for (const std::string& rest : kBodyForms) {
+        CAPTURE(interim);
+        CAPTURE(status);
+        CAPTURE(rest);
+        CHECK(IsRejectedBeforeItsHead(
+          Concatenate({ interim, "HTTP/1.1 ", status, " OK\r\n", rest })));
+      }
+    }
+  }
+  for (const std::string start : { "HTTP/1.1 200 OK",
+                                   "HTTP/1.1 200 ",
+                                   "HTTP/1.0 200 OK",
+                                   "HTTP/1.1 599 Odd",
+                                   "HTTP/1.1 102 \r\n\r\nHTTP/1.1 299 Odd" }) {
+    for (const std::string& rest : kBodyForms) {
+      CAPTURE(start);
+      CAPTURE(rest);
+      CHECK(StateOfResponse(Concatenate({ start, "\r\n", rest })) ==
+            ReadState::Complete);
+    }
+  }
+}
+
 TEST_CASE("the response to a HEAD request has no body despite its length field")
 {
   const auto reader = MakeResponseReader(true);
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -1,3 +1,4 @@
+#include "hibiscusnotch/relay/fetcher.hpp"
 #include "hibiscusnotch/relay/listener.hpp"
 #include "hibiscusnotch/relay/outbound_client.hpp"
 
@@ -548,6 +549,34 @@
   }
 }
 
+// Guards against a status that is none, of the store, a mirror or a health
+// check, which those who ask would have to tell from a sound one.
+TEST_CASE("a fetch whose response has a status outside 100 to 599 fails")
+{
+  Fixture fixture;
+  tcp::acceptor acceptor(fixture.context,
+                         { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.non_blocking(true);
+  Fetcher fetcher(*fixture.client, *fixture.timers);
+  for (const std::string status : { "000", "099", "600", "200" }) {
+    CAPTURE(status);
+    std::optional<FetchedResponse> response;
+    OutboundCall call;
+    call.to = { "127.0.0.1", acceptor.local_endpoint().port() };
+    call.message = kGet;
+    fetcher.Start(
+      std::move(call),
+      Duration{ 2'000'000 },
+      [&](const FetchedResponse& aResponse) { response = aResponse; });
+    tcp::socket peer = Accept(fixture, acceptor);
+    const std::string bytes =
+      "HTTP/1.1 " + status + " OK\r\nContent-Length: 1\r\n\r\nx";
+    boost::asio::write(peer, boost::asio::buffer(bytes));
+    REQUIRE(fixture.RunUntil([&] { return response.has_value(); }));
+    CHECK(response->status == (status == "200" ? 200 : 0));
+  }
+}
+
 namespace {
 
 /// An upstream in a process of its own, which sends a response without a length
