Test that names of fields with blanks or control bytes are malformed

Reported by operators of other systems: an answer whose head holds a name with a blank or a control byte reaches the client, with the line or with another body.

Handled already: both clients reject a name that is no token (a blank, a tab, a control byte, DEL, NUL, a byte above 127, none at all, a blank before the colon) and a line without a colon, in a head and in a trailer. Callers get 502, or another upstream's answer where the request may run again.

A blank before the name is another case, as the line is then a part of the one above.

--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -400,6 +400,24 @@
                           " OK\r\n\r\nhello");
     }
   }
+  SUBCASE("a name that is no token")
+  {
+    for (const std::string& line : { "Bad Name: x"s,
+                                     "Name : x"s,
+                                     "Na\x01me: x"s,
+                                     "Na\x7fme: x"s,
+                                     "Na\0me: x"s,
+                                     "Na\x80me: x"s,
+                                     ": x"s,
+                                     "Name"s }) {
+      responses.push_back(Concatenate({ ok, line, "\r\n", body }));
+      responses.push_back(
+        Concatenate({ ok,
+                      "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+                      line,
+                      "\r\n\r\n" }));
+    }
+  }
   for (const std::string& response : responses) {
     CAPTURE(response);
     PlainUpstream upstream;
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -261,6 +261,38 @@
   }
 }
 
+// Guards against heads that are passed on with a line that is no field.
+TEST_CASE("a response with a field whose name is no token is malformed")
+{
+  using namespace std::string_literals;
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& line : { "Bad Name: x"s,
+                                   "Bad\tName: x"s,
+                                   "Name : x"s,
+                                   "Na\x01me: x"s,
+                                   "Na\x7fme: x"s,
+                                   "Na\0me: x"s,
+                                   "Na\x80me: x"s,
+                                   ": x"s,
+                                   "Name"s,
+                                   "Content-Length : 5"s,
+                                   "Transfer-Encoding\x0b: chunked"s }) {
+    CAPTURE(line);
+    for (const std::string& rest : kBodyForms) {
+      CAPTURE(rest);
+      CHECK(
+        IsRejectedBeforeItsHead(Concatenate({ status, line, "\r\n", rest })));
+      CHECK(IsRejectedBeforeItsHead(
+        Concatenate({ status, "A: b\r\n", line, "\r\n", rest })));
+    }
+    CHECK(StateOfResponse(Concatenate(
+            { status,
+              "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+              line,
+              "\r\n\r\n" })) == ReadState::Malformed);
+  }
+}
+
 TEST_CASE("the response to a HEAD request has no body despite its length field")
 {
   const auto reader = MakeResponseReader(true);
