Do not take a response's trailer for a part of its head

What callers saw, depending on how the bytes arrived: trailer fields as fields of the head, and what they state as statements of the upstream. With "not executed" in the trailer of a 200, an order ran four times and its caller got 503, not run.

Cause: the parser reports the fields of a trailer like those of the head. The head was copied after the parser had read all that was there, so a response that arrived in one read had its trailer among its header fields. RFC 9110, section 6.5.1, forbids to merge what is not known to be safe.

Found while the tests of names in trailers were written.

Change: the parser stops behind the head, which is copied there. A trailer is still read and checked, counted among the fields, and dropped. net's HttpClient takes the fields when it has read the head and is not affected.

--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -307,6 +307,8 @@
   {
     while (!aBuffer.empty() && !parser_->is_done() && !malformed_) {
       error_code error;
+      // The head alone first, as a trailer's fields are reported like its own.
+      parser_->eager(parser_->headerDone);
       const std::size_t taken =
         parser_->put(boost::asio::buffer(aBuffer), error);
       aBuffer.erase(0, taken);
@@ -344,7 +346,6 @@
   void ResetParser()
   {
     parser_.emplace();
-    parser_->eager(true);
     parser_->skip(bodyless_);
     parser_->header_limit(kMaxResponseHeaderBytes);
     parser_->body_limit(boost::none);
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -293,6 +293,26 @@
   }
 }
 
+// Guards against a trailer that counts as a part of the head if it comes with
+// it, such as the statement that nothing was executed.
+TEST_CASE("a response's trailer is no part of its head")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nA: b\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string text = head + "5\r\nhello\r\n0\r\nA: c\r\nD: e\r\n\r\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    CAPTURE(cut);
+    const auto reader = MakeResponseReader(false);
+    std::string buffer = text.substr(0, cut);
+    reader->Read(buffer);
+    buffer += text.substr(cut);
+    CHECK(reader->Read(buffer) == ReadState::Complete);
+    CHECK(reader->TakeBody() == "hello");
+    CHECK(reader->Head().headers.size() == 2);
+    CHECK(reader->Head().Header("D").empty());
+  }
+}
+
 TEST_CASE("the response to a HEAD request has no body despite its length field")
 {
   const auto reader = MakeResponseReader(true);
