Reject responses with a folded field

What callers saw: a 200 whose body was not the runner's. With a blank before the name of "Transfer-Encoding: chunked" they got the sizes of the chunks as a part of the body; a blank before any other name puts that line into the value of the field above, such as the seal.

Cause: a line that begins with a blank goes on with the field above it, and Beast's parsers join the two. An upstream in trouble that sends such a name is not told from one that folds.

Change: both clients check the lines that the parser took for the head with net::HasStrictLines, which moved from the reader of requests. RFC 9112, section 5.2, forbids senders to fold and lets a gateway answer 502, so no sound answer is lost; requests were read like that before. ResponseReader has a head once it was accepted, not once it was parsed. HttpClient reads the head itself, as async_read_header does not show the bytes.

A list of equal lengths ("2, 2") stays allowed in responses, unlike in requests: it cannot hide another message, as nothing follows a response on its connection.

--- a/include/hibiscusnotch/net/message_syntax.hpp
+++ b/include/hibiscusnotch/net/message_syntax.hpp
@@ -2,6 +2,8 @@
 /// @brief Rules of HTTP/1.1 messages that Beast's parsers do not check.
 #pragma once
 
+#include <string_view>
+
 namespace hibiscusnotch::net {
 
 /// @brief True if a response may have the status code, which is from 100 to 599
@@ -9,4 +11,10 @@
 bool
 IsValidStatus(int aStatus);
 
+/// @brief True if every line ends in CR LF, no line is folded (RFC 9112,
+/// section 5.2) and there is no NUL.
+/// @param aLines Whole lines of a head.
+bool
+HasStrictLines(std::string_view aLines);
+
 } // namespace hibiscusnotch::net
--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -328,10 +328,8 @@
       response.emplace();
       response->header_limit(kMaxHeaderBytes);
       response->body_limit(boost::none);
-      const auto [error, bytes] = co_await http::async_read_header(
-        aStream, buffer, *response, kAwaitAsTuple);
-      if (!*aAlive || !calls_.contains(aId) || error ||
-          !IsValidStatus(response->get().result_int())) {
+      const bool isRead = co_await ReadHead(aStream, buffer, *response);
+      if (!*aAlive || !calls_.contains(aId) || !isRead) {
         co_return CallOutcome::ConnectionLost;
       }
     } while (IsInterim(*response));
@@ -378,6 +376,35 @@
     co_return CallOutcome::Complete;
   }
 
+  /// Reads a response up to the end of its head; false if it has no valid one.
+  static asio::awaitable<bool> ReadHead(beast::tcp_stream& aStream,
+                                        beast::flat_buffer& aBuffer,
+                                        Parser& aParser)
+  {
+    while (true) {
+      beast::error_code error;
+      const asio::const_buffer bytes = aBuffer.data();
+      const std::size_t taken = aParser.put(bytes, error);
+      // The parser takes whole fields, with their folds.
+      if (!HasStrictLines({ static_cast<const char*>(bytes.data()), taken })) {
+        co_return false;
+      }
+      aBuffer.consume(taken);
+      if (error && error != http::error::need_more) {
+        co_return false;
+      }
+      if (aParser.is_header_done()) {
+        co_return IsValidStatus(aParser.get().result_int());
+      }
+      const auto [failed, count] = co_await aStream.async_read_some(
+        aBuffer.prepare(kReadBufferBytes), kAwaitAsTuple);
+      if (failed) {
+        co_return false;
+      }
+      aBuffer.commit(count);
+    }
+  }
+
   /// Tells a response that its upstream ended by a close from one that broke
   /// off with the upstream's process: the kernel closes both alike, but only a
   /// process that goes on accepts connections.
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -418,6 +418,15 @@
                       "\r\n\r\n" }));
     }
   }
+  SUBCASE("a folded field")
+  {
+    for (const std::string blank : { " ", "\t" }) {
+      responses.push_back(
+        Concatenate({ ok, "A: b\r\n", blank, "Name: x\r\n", body }));
+      responses.push_back(Concatenate(
+        { ok, "A: b\r\n", blank, "Transfer-Encoding: chunked\r\n", chunks }));
+    }
+  }
   for (const std::string& response : responses) {
     CAPTURE(response);
     PlainUpstream upstream;
--- a/src/hibiscusnotch/net/message_syntax.cpp
+++ b/src/hibiscusnotch/net/message_syntax.cpp
@@ -15,4 +15,20 @@
   return aStatus >= kMinStatus && aStatus <= kMaxStatus;
 }
 
+bool
+HasStrictLines(std::string_view aLines)
+{
+  for (std::size_t at = aLines.find('\n'); at != std::string_view::npos;
+       at = aLines.find('\n', at + 1)) {
+    if (at == 0 || aLines[at - 1] != '\r') {
+      return false;
+    }
+    const char next = at + 1 < aLines.size() ? aLines[at + 1] : '\r';
+    if (next == ' ' || next == '\t') {
+      return false;
+    }
+  }
+  return aLines.find('\0') == std::string_view::npos;
+}
+
 } // namespace hibiscusnotch::net
--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -123,23 +123,6 @@
   void on_finish_impl(error_code& aError) override { aError = {}; }
 };
 
-/// True if every line ends in CR LF, no line is folded and there is no NUL.
-bool
-LinesAreStrict(std::string_view aHeader)
-{
-  for (std::size_t at = aHeader.find('\n'); at != std::string_view::npos;
-       at = aHeader.find('\n', at + 1)) {
-    if (at == 0 || aHeader[at - 1] != '\r') {
-      return false;
-    }
-    const char next = at + 1 < aHeader.size() ? aHeader[at + 1] : '\r';
-    if (next == ' ' || next == '\t') {
-      return false;
-    }
-  }
-  return aHeader.find('\0') == std::string_view::npos;
-}
-
 std::size_t
 CountHeader(const net::Headers& aHeaders, std::string_view aName)
 {
@@ -265,7 +248,7 @@
       errorStatus_ = kHeaderTooLarge;
       return false;
     }
-    if (!LinesAreStrict(std::string_view(aBuffer).substr(0, end + 2))) {
+    if (!net::HasStrictLines(std::string_view(aBuffer).substr(0, end + 2))) {
       errorStatus_ = kBadRequest;
       return false;
     }
@@ -307,10 +290,16 @@
   {
     while (!aBuffer.empty() && !parser_->is_done() && !malformed_) {
       error_code error;
+      const bool isHead = !parser_->headerDone;
       // The head alone first, as a trailer's fields are reported like its own.
-      parser_->eager(parser_->headerDone);
+      parser_->eager(!isHead);
       const std::size_t taken =
         parser_->put(boost::asio::buffer(aBuffer), error);
+      // The parser takes whole fields, with their folds.
+      if (isHead && !net::HasStrictLines({ aBuffer.data(), taken })) {
+        malformed_ = true;
+        break;
+      }
       aBuffer.erase(0, taken);
       if (!error && parser_->headerDone && parser_->status / 100 == 1) {
         PassInterimResponse();
@@ -338,7 +327,7 @@
     return State();
   }
 
-  bool HasHead() const override { return parser_->headerDone; }
+  bool HasHead() const override { return head_.status != 0; }
   const ResponseHead& Head() const override { return head_; }
   std::string TakeBody() override { return std::exchange(parser_->body, {}); }
 
@@ -369,7 +358,7 @@
 
   void UpdateHead()
   {
-    if (parser_->headerDone && head_.status == 0) {
+    if (parser_->headerDone && !HasHead()) {
       head_.status = parser_->status;
       head_.reason = parser_->reason;
       head_.headers = parser_->headers;
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -293,6 +293,27 @@
   }
 }
 
+// Guards against a name with a blank before it, whose line becomes a part of
+// the field above: with the length or coding, the body is another one.
+TEST_CASE("a response with a folded field is malformed")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  for (const std::string blank : { " ", "\t", " \t " }) {
+    for (const std::string line :
+         { "Name: x", "Content-Length: 3", "Transfer-Encoding: chunked" }) {
+      for (const std::string before : { "", "A: b\r\n", "A:\r\n" }) {
+        CAPTURE(blank);
+        CAPTURE(line);
+        CAPTURE(before);
+        for (const std::string& rest : kBodyForms) {
+          CHECK(IsRejectedBeforeItsHead(
+            Concatenate({ status, before, blank, line, "\r\n", rest })));
+        }
+      }
+    }
+  }
+}
+
 // Guards against a trailer that counts as a part of the head if it comes with
 // it, such as the statement that nothing was executed.
 TEST_CASE("a response's trailer is no part of its head")
