Reject responses in a transfer coding other than chunks

What callers saw: a 200 with a body in a coding, such as gzip, that nothing told them of: the field that names it is of the connection and is not passed on.

Cause: Beast's parsers undo chunks and hand on the rest, for "gzip, chunked" as well as for codings that nobody knows, which end with the connection.

Change: net::HasKnownCoding, which both clients ask once they have the fields. No request offers another coding, so no sound upstream uses one.

--- a/include/hibiscusnotch/net/message_syntax.hpp
+++ b/include/hibiscusnotch/net/message_syntax.hpp
@@ -2,6 +2,8 @@
 /// @brief Rules of HTTP/1.1 messages that Beast's parsers do not check.
 #pragma once
 
+#include "hibiscusnotch/net/http_types.hpp"
+
 #include <string_view>
 
 namespace hibiscusnotch::net {
@@ -17,4 +19,9 @@
 bool
 HasStrictLines(std::string_view aLines);
 
+/// @brief True if the head names no transfer coding but chunks, the only one
+/// that a recipient takes without asking for it (RFC 9112, section 7.4).
+bool
+HasKnownCoding(const Headers& aHeaders);
+
 } // namespace hibiscusnotch::net
--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -340,6 +340,9 @@
       head.headers.emplace_back(std::string(field.name_string()),
                                 std::string(field.value()));
     }
+    if (!HasKnownCoding(head.headers)) {
+      co_return CallOutcome::ConnectionLost;
+    }
     const std::shared_ptr<ActiveCall> call = calls_.at(aId);
     call->observer.onHead(head);
     std::array<char, kReadBufferBytes> data;
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -427,6 +427,13 @@
         { ok, "A: b\r\n", blank, "Transfer-Encoding: chunked\r\n", chunks }));
     }
   }
+  SUBCASE("another transfer coding than chunks")
+  {
+    for (const std::string coding : { "gzip, chunked", "gzip", "unheard-of" }) {
+      responses.push_back(
+        Concatenate({ ok, "Transfer-Encoding: ", coding, "\r\n", chunks }));
+    }
+  }
   for (const std::string& response : responses) {
     CAPTURE(response);
     PlainUpstream upstream;
--- a/src/hibiscusnotch/net/message_syntax.cpp
+++ b/src/hibiscusnotch/net/message_syntax.cpp
@@ -1,5 +1,8 @@
 #include "hibiscusnotch/net/message_syntax.hpp"
 
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+
 namespace hibiscusnotch::net {
 
 namespace {
@@ -31,4 +34,13 @@
   return aLines.find('\0') == std::string_view::npos;
 }
 
+bool
+HasKnownCoding(const Headers& aHeaders)
+{
+  return std::ranges::all_of(aHeaders, [](const auto& aField) {
+    return !boost::beast::iequals(aField.first, "Transfer-Encoding") ||
+           boost::beast::iequals(aField.second, "chunked");
+  });
+}
+
 } // namespace hibiscusnotch::net
--- a/src/hibiscusnotch/relay/http_reader.cpp
+++ b/src/hibiscusnotch/relay/http_reader.cpp
@@ -296,7 +296,8 @@
       const std::size_t taken =
         parser_->put(boost::asio::buffer(aBuffer), error);
       // The parser takes whole fields, with their folds.
-      if (isHead && !net::HasStrictLines({ aBuffer.data(), taken })) {
+      if (isHead && !(net::HasStrictLines({ aBuffer.data(), taken }) &&
+                      net::HasKnownCoding(parser_->headers))) {
         malformed_ = true;
         break;
       }
--- a/src/hibiscusnotch/relay/http_reader_test.cpp
+++ b/src/hibiscusnotch/relay/http_reader_test.cpp
@@ -314,6 +314,35 @@
   }
 }
 
+// Guards against a body in a coding that the caller is not told of.
+TEST_CASE("a response in another transfer coding than chunks is malformed")
+{
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = "\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string coding : { "gzip, chunked",
+                                    "gzip",
+                                    "deflate,chunked",
+                                    "unheard-of",
+                                    "chunked, gzip",
+                                    "chunked, chunked",
+                                    "xchunked",
+                                    "" }) {
+    CAPTURE(coding);
+    CHECK(IsRejectedBeforeItsHead(
+      Concatenate({ status, "Transfer-Encoding: ", coding, "\r\n", chunks })));
+  }
+  CHECK(IsRejectedBeforeItsHead(status +
+                                "Transfer-Encoding: gzip\r\n"
+                                "Transfer-Encoding: chunked\r\n" +
+                                chunks));
+  for (const std::string coding : { "chunked", "Chunked", " CHUNKED " }) {
+    CAPTURE(coding);
+    CHECK(StateOfResponse(Concatenate(
+            { status, "Transfer-Encoding: ", coding, "\r\n", chunks })) ==
+          ReadState::Complete);
+  }
+}
+
 // Guards against a trailer that counts as a part of the head if it comes with
 // it, such as the statement that nothing was executed.
 TEST_CASE("a response's trailer is no part of its head")
