Await the rest of a long request before an early end counts as one

What callers saw: a part of a 200 without a length as the whole, where a runner answers an upload at once, ends its side and resets the connection a moment later, while the upload is still being written.

Cause: a response without a length was complete once its end was read, whatever became of the request. The client closed its socket and asked whether the runner lives, which it did; the reset was never seen. Bytes that the kernel has accepted are not bytes that the runner has read.

A reset without the end before it was handled.

Hypotheses told apart: that a write takes the reset - no, the same at 20 kB, which are written at once; that the reset comes before the end is read - no, it comes 30 ms later; that the liveness check errs - no, the process lives.

Change: for a request of more than 8 kB, which a peer may not have read when it answers, the connection stays open after the end of a response without a length until the peer's kernel has acknowledged all of the request and 100 ms have passed without a reset. A reset, or no progress for the call's silence limit, is a lost connection. The liveness check follows as before. A peer that reads on after an early end (RFC 9112, section 9.6) is served, also slowly; before, its connection was closed while it read. Both clients alike; the mesh and the server's side read no such responses.

Not covered: a peer that resets later than 100 ms after its kernel took all of the request. A reset that follows a request which was read as a whole also counts as a break.

--- a/include/hibiscusnotch/relay/outbound_client.hpp
+++ b/include/hibiscusnotch/relay/outbound_client.hpp
@@ -83,7 +83,8 @@
 /// response or a connection that the peer is about to close. A response that
 /// ends with its connection counts as complete only if the peer passes its
 /// liveness check, or accepts a connection where there is none: a process that
-/// is killed ends its responses in the same way.
+/// is killed ends its responses in the same way. If the request is long, its
+/// peer must also have taken all of it, and not reset the connection.
 class OutboundClient
 {
 public:
--- a/src/hibiscusnotch/net/http_client.cpp
+++ b/src/hibiscusnotch/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusnotch/net/http_client.hpp"
 
 #include "hibiscusnotch/net/message_syntax.hpp"
+#include "hibiscusnotch/net/request_receipt.hpp"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -373,7 +374,9 @@
     }
     aStream.expires_never();
     aReusable = parser.get().keep_alive();
-    if (parser.need_eof() && !co_await StillAccepts(aAlive, aCall)) {
+    if (parser.need_eof() &&
+        !(co_await IsRequestTaken(aAlive, aCall, aStream) &&
+          co_await StillAccepts(aAlive, aCall))) {
       co_return CallOutcome::ConnectionLost;
     }
     co_return CallOutcome::Complete;
@@ -408,6 +411,34 @@
     }
   }
 
+  /// Tells a response that its peer ended early, to read the rest of the
+  /// request (RFC 9112, section 9.6), from one that it broke off: the second is
+  /// followed by a reset, as the request is not read.
+  asio::awaitable<bool> IsRequestTaken(Alive aAlive,
+                                       const HttpCall& aCall,
+                                       beast::tcp_stream& aStream)
+  {
+    if (!MayBeAnsweredUnread(aCall.body.size())) {
+      co_return true;
+    }
+    const auto end = std::chrono::steady_clock::now() + aCall.timeout;
+    bool wasTaken = false;
+    while (std::chrono::steady_clock::now() < end) {
+      const auto unacknowledged =
+        UnacknowledgedBytes(aStream.socket().native_handle());
+      if (!unacknowledged || (wasTaken && *unacknowledged == 0)) {
+        co_return unacknowledged.has_value();
+      }
+      wasTaken = *unacknowledged == 0;
+      asio::steady_timer pause(context_, kExitTime);
+      co_await pause.async_wait(kAwaitAsTuple);
+      if (!*aAlive) {
+        co_return false;
+      }
+    }
+    co_return false;
+  }
+
   /// Tells a response that its upstream ended by a close from one that broke
   /// off with the upstream's process: the kernel closes both alike, but only a
   /// process that goes on accepts connections.
--- a/src/hibiscusnotch/net/http_test.cpp
+++ b/src/hibiscusnotch/net/http_test.cpp
@@ -317,6 +317,40 @@
     return peer;
   }
 
+  /// Sends a part of a response without a length and the end of the stream
+  /// while the request is not read; then reads it, or resets the connection.
+  std::optional<CallOutcome> RespondEarly(std::size_t aBodyBytes, bool aRead)
+  {
+    std::optional<CallOutcome> outcome;
+    HttpCall call;
+    call.to = { kEndpoint.address, acceptor.local_endpoint().port() };
+    call.method = "POST";
+    call.body = std::string(aBodyBytes, 'x');
+    client->Send(
+      std::move(call),
+      [&](CallOutcome aOutcome, const HttpResponse&) { outcome = aOutcome; });
+    tcp::socket peer = Accept();
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\npart";
+    boost::asio::write(peer, boost::asio::buffer(part));
+    peer.shutdown(tcp::socket::shutdown_send);
+    context.run_for(std::chrono::milliseconds(5));
+    context.restart();
+    if (aRead) {
+      peer.non_blocking(true);
+      RunUntil([&] {
+        std::array<char, 64 * 1024> bytes{};
+        boost::system::error_code error;
+        peer.read_some(boost::asio::buffer(bytes), error);
+        return outcome.has_value();
+      });
+    } else {
+      peer.set_option(boost::asio::socket_base::linger(true, 0));
+      peer.close();
+    }
+    RunUntil([&] { return outcome.has_value(); });
+    return outcome;
+  }
+
   template<class Condition>
   void RunUntil(Condition aCondition)
   {
@@ -458,6 +492,21 @@
   }
 }
 
+// Guards against the start of a response that is taken for the whole, as its
+// end comes a moment before the reset that shows that its peer broke it off.
+TEST_CASE("a reset of a request that is not read is not the end of a response")
+{
+  for (const std::size_t bodyBytes : { 20UL * 1024, 300UL * 1024 }) {
+    for (const bool isRead : { false, true }) {
+      CAPTURE(bodyBytes);
+      CAPTURE(isRead);
+      PlainUpstream upstream;
+      CHECK(upstream.RespondEarly(bodyBytes, isRead) ==
+            (isRead ? CallOutcome::Complete : CallOutcome::ConnectionLost));
+    }
+  }
+}
+
 TEST_CASE("a response that trickles without end is given up in time")
 {
   boost::asio::io_context context;
--- a/src/hibiscusnotch/relay/loopback_test.cpp
+++ b/src/hibiscusnotch/relay/loopback_test.cpp
@@ -2,6 +2,8 @@
 #include "hibiscusnotch/relay/listener.hpp"
 #include "hibiscusnotch/relay/outbound_client.hpp"
 
+#include "hibiscusnotch/testing/manual_timers.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -747,6 +749,161 @@
   CHECK(report.end == CallOutcome::ConnectionLost);
 }
 
+namespace {
+
+/// A call with a body, whose peer sends a part of a response without a length
+/// and the end of the stream while it has read no more than the first bytes.
+/// The client's clock moves in steps, however busy the machine is.
+struct EarlyEnd
+{
+  EarlyEnd(Fixture& aFixture, std::size_t aBodyBytes)
+    : fixture(aFixture)
+    , acceptor(aFixture.context,
+               { boost::asio::ip::make_address("127.0.0.1"), 0 })
+  {
+    acceptor.non_blocking(true);
+    OutboundCall call;
+    call.to = { "127.0.0.1", acceptor.local_endpoint().port() };
+    call.message = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                   std::to_string(aBodyBytes) + "\r\n\r\n";
+    call.body = std::make_shared<const std::string>(aBodyBytes, 'x');
+    id = client->Start(std::move(call), report.Observer());
+    peer = Accept(fixture, acceptor);
+    boost::asio::write(peer, boost::asio::buffer(kUnframedHead + "part"));
+    peer.shutdown(tcp::socket::shutdown_send);
+    peer.non_blocking(true);
+    REQUIRE(fixture.RunUntil([&] { return report.body == "part"; }));
+  }
+
+  void Step()
+  {
+    fixture.context.run_for(std::chrono::milliseconds(1));
+    fixture.context.restart();
+    timers.Advance(kStep);
+  }
+
+  void RunFor(Duration aTime)
+  {
+    for (const TimePoint end = timers.Now() + aTime; timers.Now() < end;) {
+      Step();
+    }
+  }
+
+  /// Reads bytes of the request that have arrived; returns their number.
+  std::size_t Read(std::size_t aMost)
+  {
+    std::vector<char> bytes(aMost);
+    boost::system::error_code error;
+    return peer.read_some(boost::asio::buffer(bytes), error);
+  }
+
+  void Reset()
+  {
+    peer.set_option(boost::asio::socket_base::linger(true, 0));
+    peer.close();
+  }
+
+  /// @param aReadBytes Of the request, which the peer reads at each step.
+  /// @returns The number of bytes that were read.
+  std::size_t AwaitEnd(std::size_t aReadBytes = 0)
+  {
+    std::size_t count = 0;
+    for (std::size_t step = 0; step < kMaxSteps && !report.end; ++step) {
+      Step();
+      count += aReadBytes > 0 ? Read(aReadBytes) : 0;
+    }
+    REQUIRE(report.end);
+    CHECK(client->Open() == 0);
+    return count;
+  }
+
+  static constexpr Duration kStep{ 5'000 };
+  static constexpr std::size_t kMaxSteps = 4000;
+
+  Fixture& fixture;
+  hibiscusnotch::testing::ManualTimers timers;
+  std::unique_ptr<OutboundClient> client =
+    MakeOutboundClient(fixture.context, timers);
+  tcp::acceptor acceptor;
+  tcp::socket peer{ fixture.context };
+  ReportedCall report;
+  CallId id = 0;
+};
+
+constexpr std::size_t kKilobyte = 1024;
+constexpr std::size_t kMegabyte = 1024 * kKilobyte;
+constexpr std::size_t kReadBytes = 16 * kKilobyte;
+
+} // namespace
+
+// Guards against the start of a response that is taken for the whole, as its
+// end comes a moment before the reset that shows that its peer broke it off.
+TEST_CASE("a reset while a long request is sent is not the end of a response")
+{
+  for (const std::size_t bodyBytes :
+       { 20 * kKilobyte, 300 * kKilobyte, 4 * kMegabyte }) {
+    for (const int reads : { 0, 1, 8 }) {
+      CAPTURE(bodyBytes);
+      CAPTURE(reads);
+      Fixture fixture;
+      EarlyEnd upload(fixture, bodyBytes);
+      for (int count = 0; count < reads; ++count) {
+        upload.Read(kReadBytes);
+      }
+      upload.RunFor(Duration{ 30'000 });
+      upload.Reset();
+      upload.AwaitEnd();
+      CHECK(upload.report.end == CallOutcome::ConnectionLost);
+    }
+  }
+}
+
+// Guards against the refusal of responses whose peers end them early and read
+// the rest of the request, as RFC 9112, section 9.6, describes.
+TEST_CASE("a response that ends before its long request is whole if it is read")
+{
+  for (const std::size_t bodyBytes :
+       { 20 * kKilobyte, 300 * kKilobyte, 4 * kMegabyte }) {
+    CAPTURE(bodyBytes);
+    Fixture fixture;
+    EarlyEnd upload(fixture, bodyBytes);
+    constexpr std::size_t kFirstBytes = 2 * kKilobyte; // read by Accept
+    CHECK(upload.AwaitEnd(kReadBytes) + kFirstBytes >= bodyBytes);
+    CHECK(upload.report.end == CallOutcome::Complete);
+  }
+}
+
+TEST_CASE("a response whose long request is never read is lost in time")
+{
+  Fixture fixture;
+  EarlyEnd upload(fixture, 8 * kMegabyte);
+  const TimePoint start = upload.timers.Now();
+  upload.AwaitEnd();
+  CHECK(upload.report.end == CallOutcome::ConnectionLost);
+  CHECK(upload.timers.Now() - start < std::chrono::seconds(2));
+}
+
+TEST_CASE("a call may be cancelled or paused while its request is read")
+{
+  Fixture fixture;
+  EarlyEnd upload(fixture, 300 * kKilobyte);
+  SUBCASE("paused and resumed")
+  {
+    upload.client->SetPaused(upload.id, true);
+    upload.Step();
+    upload.client->SetPaused(upload.id, false);
+    upload.AwaitEnd(kReadBytes);
+    CHECK(upload.report.end == CallOutcome::Complete);
+  }
+  SUBCASE("cancelled")
+  {
+    upload.client->Cancel(upload.id);
+    CHECK(upload.client->Open() == 0);
+    upload.RunFor(Duration{ 300'000 });
+    CHECK_FALSE(upload.report.end);
+  }
+}
+
 TEST_CASE("a refused connection is reported as not sent")
 {
   Fixture fixture;
--- a/src/hibiscusnotch/relay/outbound_client.cpp
+++ b/src/hibiscusnotch/relay/outbound_client.cpp
@@ -1,7 +1,9 @@
 #include "hibiscusnotch/relay/outbound_client.hpp"
 
+#include "hibiscusnotch/net/request_receipt.hpp"
 #include "socket_io.hpp"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +21,12 @@
 // listening sockets soon after its connections, later on a busy processor.
 constexpr Duration kExitTime{ 100'000 };
 
+// A peer that breaks off a response may end its side a moment before the reset.
+constexpr Duration kResetTime{ 100'000 };
+
+// Between looks at how much of a request its peer has taken.
+constexpr Duration kReceiptCheckPause{ 20'000 };
+
 // Between checks that did not show who is there.
 constexpr Duration kLivenessCheckPause{ 100'000 };
 // What processes say of themselves is shorter.
@@ -49,10 +57,14 @@
   std::string out;
   std::shared_ptr<const std::string> body; ///< Follows `out`, if not null.
   std::size_t written = 0;                 ///< Of what is being sent.
+  bool mayBeAnsweredUnread = false;
+  /// Of the request, when its peer was last seen to take more of it.
+  std::size_t untakenBytes = std::numeric_limits<std::size_t>::max();
+  TimePoint takenAt{};
   std::string in;
   std::unique_ptr<ResponseReader> reader;
   CallObserver observer;
-  TimerId connectTimer = 0; ///< Later of the next liveness check.
+  TimerId connectTimer = 0; ///< Later of the next look or liveness check.
   TimerId silenceTimer = 0; ///< Later of the whole confirmation of the end.
   Duration probeAfterSilence{ 0 };
   Duration maxSilence{ 0 };
@@ -101,6 +113,8 @@
   {
     const CallId id = ++lastId_;
     PendingCall& pending = calls_.try_emplace(id, context_).first->second;
+    pending.mayBeAnsweredUnread = net::MayBeAnsweredUnread(
+      aCall.message.size() + (aCall.body ? aCall.body->size() : 0));
     pending.out = std::move(aCall.message);
     if (aCall.body && aCall.body->size() <= kMaxJoinedBodyBytes) {
       pending.out += *aCall.body;
@@ -313,7 +327,7 @@
       return;
     }
     if (endedByClose) {
-      ConfirmEnd(aCall, *Find(aCall));
+      OnEndedByClose(aCall, *Find(aCall));
     } else if (state == ReadState::Complete) {
       End(aCall, CallOutcome::Complete, "");
     } else if (state == ReadState::Malformed) {
@@ -323,6 +337,60 @@
     }
   }
 
+  void OnEndedByClose(CallId aCall, PendingCall& aPending)
+  {
+    aPending.connected = false; // there is nothing to read any more
+    timers_.Cancel(std::exchange(aPending.silenceTimer, 0));
+    if (aPending.mayBeAnsweredUnread) {
+      AwaitReceipt(aCall, aPending);
+    } else {
+      ConfirmEnd(aCall, aPending);
+    }
+  }
+
+  /// Tells a response that its peer ended early, to read the rest of the
+  /// request (RFC 9112, section 9.6), from one that it broke off: the second is
+  /// followed by a reset, as the request is not read.
+  void AwaitReceipt(CallId aCall, PendingCall& aPending)
+  {
+    const auto unacknowledged =
+      net::UnacknowledgedBytes(aPending.socket.native_handle());
+    if (!unacknowledged || aPending.writeFailed) {
+      End(aCall,
+          CallOutcome::ConnectionLost,
+          "ended without a length, and reset before the request was read");
+      return;
+    }
+    const TimePoint now = timers_.Now();
+    const std::size_t untaken = UnwrittenBytes(aPending) + *unacknowledged;
+    if (untaken < aPending.untakenBytes) {
+      aPending.untakenBytes = untaken;
+      aPending.takenAt = now;
+    }
+    const Duration unchangedFor = now - aPending.takenAt;
+    if (untaken == 0 && unchangedFor >= kResetTime) {
+      ConfirmEnd(aCall, aPending);
+    } else if (untaken > 0 && unchangedFor >= aPending.maxSilence) {
+      End(aCall,
+          CallOutcome::ConnectionLost,
+          "ended without a length, and the request is not read");
+    } else {
+      aPending.connectTimer = timers_.After(kReceiptCheckPause, [this, aCall] {
+        if (PendingCall* pending = Find(aCall)) {
+          pending->connectTimer = 0;
+          AwaitReceipt(aCall, *pending);
+        }
+      });
+    }
+  }
+
+  static std::size_t UnwrittenBytes(const PendingCall& aPending)
+  {
+    // The message is released once it is written.
+    return aPending.out.size() + (aPending.body ? aPending.body->size() : 0) -
+           aPending.written;
+  }
+
   /// Tells a response that its upstream ended by a close from one that broke
   /// off with the upstream's process: the kernel closes both alike, but only a
   /// process that goes on answers, or at least accepts connections.
@@ -330,8 +398,6 @@
   {
     boost::system::error_code ignored;
     aPending.socket.close(ignored);
-    aPending.connected = false; // there is nothing to read any more
-    timers_.Cancel(std::exchange(aPending.silenceTimer, 0));
     if (aPending.liveness) {
       aPending.silenceTimer = timers_.After(aPending.maxSilence, [this, aCall] {
         End(aCall,
