--- a/include/hibiscusnotch/relay/http_reader.hpp
+++ b/include/hibiscusnotch/relay/http_reader.hpp
@@ -84,6 +84,10 @@
 };
 
 /// @brief Parses one response.
+///
+/// Rejects a status outside 100 to 599, folded fields, and a transfer coding
+/// other than chunks, of which a caller would not be told. Interim responses
+/// are passed over; a trailer is checked and dropped.
 class ResponseReader
 {
 public:
@@ -92,6 +96,7 @@
   virtual ReadState Read(std::string& aBuffer) = 0;
   /// @brief Handles the end of the peer's side of the connection.
   virtual ReadState ReadEnd() = 0;
+  /// @brief True once a whole head was read and accepted.
   virtual bool HasHead() const = 0;
   virtual const ResponseHead& Head() const = 0;
   /// @brief Body bytes read since the last call.
