--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,5 +2,5 @@
 # Case 12; see claim.txt. Needs the deploy file's build and review/build-3.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-[ -x "$root/target/review-3/slow" ] && [ -x "$root/target/hibiscusnotch" ] || exit 2
-exec timeout 115 "$root/target/review-3/slow" "$root" "$here"
+[ -x "$root/target/review-3/cold" ] && [ -x "$root/target/hibiscusnotch" ] || exit 2
+exec timeout 115 "$root/target/review-3/cold" "$root" "$here"
