--- a/review/standins-3/kit.cpp
+++ b/review/standins-3/kit.cpp
@@ -160,20 +160,6 @@
   setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof time);
 }
 
-std::string
-Connection::ReadSome(std::size_t aMost)
-{
-  if (!buffer_.empty()) {
-    std::string bytes = buffer_.substr(0, aMost);
-    buffer_.erase(0, bytes.size());
-    return bytes;
-  }
-  std::string bytes(aMost, '\0');
-  const ssize_t got = recv(socket_, bytes.data(), bytes.size(), 0);
-  bytes.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
-  return bytes;
-}
-
 bool
 Connection::PeerHasClosed() const
 {
@@ -278,20 +264,10 @@
 }
 
 std::shared_ptr<Connection>
-Connect(const std::string& aAddress,
-        uint16_t aPort,
-        double aTimeoutMs,
-        int aReceiveBuffer)
+Connect(const std::string& aAddress, uint16_t aPort, double aTimeoutMs)
 {
   const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   auto connection = std::make_shared<Connection>(handle);
-  if (aReceiveBuffer > 0) {
-    setsockopt(
-      handle, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer, sizeof aReceiveBuffer);
-    // Segments as on a network; those of loopback exceed such a buffer.
-    const int segment = 1460;
-    setsockopt(handle, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
-  }
   const int on = 1;
   setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   const sockaddr_in address = SocketAddress(aAddress, aPort);
@@ -464,13 +440,6 @@
   return found == objects_[aKind].end() ? json() : found->second;
 }
 
-std::size_t
-Store::Count(const std::string& aKind)
-{
-  const std::lock_guard lock(mutex_);
-  return objects_[aKind].size();
-}
-
 void
 Store::SetSilent(bool aSilent)
 {
@@ -747,17 +716,6 @@
     }
     record_.Line("runner " + options_.id + ": runs " + id);
     SleepMs(options_.workMs);
-    if (options_.events > 0) {
-      const bool whole = Stream(
-        aConnection, id, std::atoi(request.Header("Last-Event-Id").c_str()));
-      --running_;
-      record_.Line("runner " + options_.id + ": " +
-                   (whole ? "ends " : "breaks off ") + id);
-      if (!whole) {
-        return;
-      }
-      continue;
-    }
     --running_;
     std::string body(options_.answerBytes, 'x');
     body.replace(0, std::min(body.size(), id.size()), id);
@@ -771,125 +729,94 @@
   }
 }
 
-std::string
-EventText(const std::string& aId, int aNumber, std::size_t aBytes)
-{
-  std::string event = "id: " + std::to_string(aNumber) + "\ndata: " + aId + ' ';
-  event.append(aBytes - std::min(aBytes, event.size() + 2), 'x');
-  return event + "\n\n";
-}
-
-bool
-Runner::Stream(Connection& aConnection, const std::string& aId, int aAfter)
-{
-  if (!aConnection.Write(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        "Request-Id: " +
-        aId + "\r\nResponse-Seal: seal." + aId +
-        "\r\nTransfer-Encoding: chunked\r\n\r\n")) {
-    return false;
-  }
-  for (int number = aAfter + 1; number <= options_.events; ++number) {
-    const std::string event = EventText(aId, number, options_.eventBytes);
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
-    if (!aConnection.Write(size.data() + event + "\r\n")) {
-      return false;
-    }
-    SleepMs(options_.eventGapMs);
-  }
-  return aConnection.Write("0\r\n\r\n");
-}
-
 Entry::Entry(EntryOptions aOptions,
              const std::string& aRoot,
              const std::string& aFolder)
   : options_(std::move(aOptions))
 {
   const std::string& ip = options_.address;
-  json settings = { { "nodeName", options_.name },
-                    { "role", "entry" },
-                    { "machineClass", "front" },
-                    { "serves", { "front", "control" } },
-                    { "ip", ip },
-                    { "zone", options_.zone },
-                    { "region", "ga-south" },
-                    { "zones",
-                      { { "macon", "ga-south" },
-                        { "valdosta", "ga-south" },
-                        { "albany", "ga-south" } } },
-                    { "listen",
-                      { { "front", ip + ":8227" },
-                        { "ready", ip + ":8220" },
-                        { "control", ip + ":8229" } } },
-                    { "portRange", { 7340, 7355 } },
-                    { "seeds", options_.seeds },
-                    { "bootstrap", options_.bootstrap },
-                    { "lossCounts", false },
-                    { "limits",
-                      { { "cpuShare", 0.25 },
-                        { "cores", 1 },
-                        { "memoryMb", 110 },
-                        { "maxFds", 4100 },
-                        { "linkMbps", 1000.0 },
-                        { "diskMb", 0 } } },
-                    { "dataDir", nullptr },
-                    { "discovery", "platform" },
-                    { "entry", "vip" },
-                    { "heartbeatMs", 1200 },
-                    { "contracts",
-                      { "base",
-                        "drain",
-                        "config",
-                        "cost",
-                        "retry",
-                        "recover",
-                        "engine",
-                        "stream",
-                        "tenants",
-                        "places",
-                        "platform",
-                        "rollout" } },
-                    { "faultTolerance",
-                      { { "machines", 2 }, { "zones", 1 }, { "regions", 0 } } },
-                    { "bounds",
-                      { { "seedLagS", 3 },
-                        { "reuseAfterS", 2 },
-                        { "stableWindowMs", 3000 },
-                        { "ackMs", 4000 },
-                        { "catchUpS", 4 },
-                        { "drainMs", 2000 },
-                        { "graceS", 8 },
-                        { "lossSlackMs", 200 },
-                        { "configApplyMs", 2000 },
-                        { "rollbackSlackMs", 250 },
-                        { "maxSkewMs", 5000 },
-                        { "enforceRevocation", true },
-                        { "revokeMs", 5000 },
-                        { "retryBudgetRatio", 0.9 },
-                        { "budgetWindowS", 10 },
-                        { "retryBudgetMin", 56 },
-                        { "exposeShare", 0.15 },
-                        { "exposeSlack", 30 },
-                        { "rollbackMs", 5000 },
-                        { "coldOvershoot", 1.5 },
-                        { "coldSlack", 5 },
-                        { "evacMs", 5000 },
-                        { "recoverS", 12 },
-                        { "passMs", 120 },
-                        { "reuseWindowS", 10 },
-                        { "sessionS", 5 } } },
-                    { "platform",
-                      { { "address", options_.store },
-                        { "form", "objects" },
-                        { "writesPerS", 400 },
-                        { "readsPerS", 2000 },
-                        { "historyS", 20 },
-                        { "valueBytes", 1048576 },
-                        { "ttlMinMs", 1000 } } } };
-  for (const std::string& contract : options_.moreContracts) {
-    settings["contracts"].push_back(contract);
-  }
+  const json settings = {
+    { "nodeName", options_.name },
+    { "role", "entry" },
+    { "machineClass", "front" },
+    { "serves", { "front", "control" } },
+    { "ip", ip },
+    { "zone", options_.zone },
+    { "region", "ga-south" },
+    { "zones",
+      { { "macon", "ga-south" },
+        { "valdosta", "ga-south" },
+        { "albany", "ga-south" } } },
+    { "listen",
+      { { "front", ip + ":8227" },
+        { "ready", ip + ":8220" },
+        { "control", ip + ":8229" } } },
+    { "portRange", { 7340, 7355 } },
+    { "seeds", options_.seeds },
+    { "bootstrap", options_.bootstrap },
+    { "lossCounts", false },
+    { "limits",
+      { { "cpuShare", 0.25 },
+        { "cores", 1 },
+        { "memoryMb", 110 },
+        { "maxFds", 4100 },
+        { "linkMbps", 1000.0 },
+        { "diskMb", 0 } } },
+    { "dataDir", nullptr },
+    { "discovery", "platform" },
+    { "entry", "vip" },
+    { "heartbeatMs", 1200 },
+    { "contracts",
+      { "base",
+        "drain",
+        "config",
+        "cost",
+        "retry",
+        "recover",
+        "engine",
+        "stream",
+        "tenants",
+        "places",
+        "platform",
+        "rollout" } },
+    { "faultTolerance",
+      { { "machines", 2 }, { "zones", 1 }, { "regions", 0 } } },
+    { "bounds",
+      { { "seedLagS", 3 },
+        { "reuseAfterS", 2 },
+        { "stableWindowMs", 3000 },
+        { "ackMs", 4000 },
+        { "catchUpS", 4 },
+        { "drainMs", 2000 },
+        { "graceS", 8 },
+        { "lossSlackMs", 200 },
+        { "configApplyMs", 2000 },
+        { "rollbackSlackMs", 250 },
+        { "maxSkewMs", 5000 },
+        { "enforceRevocation", true },
+        { "revokeMs", 5000 },
+        { "retryBudgetRatio", 0.9 },
+        { "budgetWindowS", 10 },
+        { "retryBudgetMin", 56 },
+        { "exposeShare", 0.15 },
+        { "exposeSlack", 30 },
+        { "rollbackMs", 5000 },
+        { "coldOvershoot", 1.5 },
+        { "coldSlack", 5 },
+        { "evacMs", 5000 },
+        { "recoverS", 12 },
+        { "passMs", 120 },
+        { "reuseWindowS", 10 },
+        { "sessionS", 5 } } },
+    { "platform",
+      { { "address", options_.store },
+        { "form", "objects" },
+        { "writesPerS", 400 },
+        { "readsPerS", 2000 },
+        { "historyS", 20 },
+        { "valueBytes", 1048576 },
+        { "ttlMinMs", 1000 } } }
+  };
   const std::string file = aFolder + '/' + options_.name + ".json";
   std::ofstream(file) << settings.dump(1);
   const std::string log = aFolder + '/' + options_.name + ".log";
@@ -1001,34 +928,18 @@
          std::to_string(1 + network_ % 250) + '.' + std::to_string(aNumber);
 }
 
-namespace {
-
-json
-StreamRoute()
-{
-  return { { "name", "route-brief" },   { "hostname", "shop.example" },
-           { "pathPrefix", "/brief/" }, { "kind", "streaming" },
-           { "timeoutMs", 25000 },      { "targetLatencyMs", 4000 },
-           { "priority", 0 },           { "service", "brief-llm" },
-           { "maxAttempts", 3 },        { "authExempt", false },
-           { "stickySessions", true },  { "resumable", true },
-           { "gapAimMs", 2000 } };
-}
-
-} // namespace
-
 json
-PlainConfiguration(int aVersion, int aTimeoutMs)
+PlainConfiguration(int aVersion)
 {
-  const auto route = [aTimeoutMs](const char* aName,
-                                  const char* aPrefix,
-                                  const char* aKind,
-                                  int aAttempts) {
+  const auto route = [](const char* aName,
+                        const char* aPrefix,
+                        const char* aKind,
+                        int aAttempts) {
     return json{ { "name", aName },
                  { "hostname", "shop.example" },
                  { "pathPrefix", aPrefix },
                  { "kind", aKind },
-                 { "timeoutMs", aTimeoutMs },
+                 { "timeoutMs", 1500 },
                  { "targetLatencyMs", 300 },
                  { "priority", 2 },
                  { "service", "order-app" },
@@ -1040,8 +951,7 @@
   return { { "version", aVersion },
            { "routes",
              { route("order-book", "/order/", "unsafe", 1),
-               route("stock-read", "/stock/", "safe", 2),
-               StreamRoute() } },
+               route("stock-read", "/stock/", "safe", 2) } },
            { "services",
              { { { "name", "order-app" },
                  { "healthPath", "/healthz" },
@@ -1049,14 +959,7 @@
                  { "protocol", "h1" },
                  { "tls", false },
                  { "coldStartS", 0.0 },
-                 { "coldPerS", 0.0 } },
-               { { "name", "brief-llm" },
-                 { "healthPath", "/healthz" },
-                 { "maxConnections", 370 },
-                 { "protocol", "h1" },
-                 { "tls", false },
-                 { "coldStartS", 3.0 },
-                 { "coldPerS", 10.0 } } } },
+                 { "coldPerS", 0.0 } } } },
            { "limits",
              { { "maxHeaderBytes", 16384 },
                { "maxBodyBytes", 4194304 },
--- a/review/standins-3/kit.hpp
+++ b/review/standins-3/kit.hpp
@@ -73,8 +73,6 @@
   /// @brief Reads one message; not complete if the connection ended first.
   Message Read(bool aIsResponse = false);
   bool Write(const std::string& aBytes);
-  /// @brief Reads at most so many bytes; empty at the end or an error.
-  std::string ReadSome(std::size_t aMost);
   /// @brief True if the peer has closed or reset the connection.
   bool PeerHasClosed() const;
   void SetReadTimeout(double aMilliseconds) const;
@@ -87,12 +85,8 @@
 };
 
 /// @brief Nothing if the connection is not established in the time.
-/// @param aReceiveBuffer Bytes; zero for the kernel's choice.
 std::shared_ptr<Connection>
-Connect(const std::string& aAddress,
-        uint16_t aPort,
-        double aTimeoutMs = 1000,
-        int aReceiveBuffer = 0);
+Connect(const std::string& aAddress, uint16_t aPort, double aTimeoutMs = 1000);
 
 /// @brief Accepts connections and handles each in a thread of its own.
 class Server
@@ -142,7 +136,6 @@
              const json& aSpec);
   double Remove(const std::string& aKind, const std::string& aName);
   json Get(const std::string& aKind, const std::string& aName);
-  std::size_t Count(const std::string& aKind);
 
   /// @brief While it is silent, calls get no answer, those that wait included;
   /// their connections are closed at the end.
@@ -198,10 +191,6 @@
   std::size_t answerBytes = 800;
   int slots = 6;
   int coldMs = 0; ///< From its registration on.
-  /// @brief Answers with a stream of so many events if not zero.
-  int events = 0;
-  std::size_t eventBytes = 60;
-  double eventGapMs = 5;
 };
 
 /// @brief A runner of a plain service.
@@ -222,7 +211,6 @@
 
 private:
   void Handle(Connection& aConnection);
-  bool Stream(Connection& aConnection, const std::string& aId, int aAfter);
 
   RunnerOptions options_;
   Store& store_;
@@ -245,7 +233,6 @@
   std::string store; ///< ADDRESS:PORT
   std::vector<std::string> seeds;
   bool bootstrap = true;
-  std::vector<std::string> moreContracts;
 };
 
 inline constexpr uint16_t kFrontPort = 8227;
@@ -290,13 +277,9 @@
   int network_ = 0;
 };
 
-/// @brief The event that a runner streams for a request.
-std::string
-EventText(const std::string& aId, int aNumber, std::size_t aBytes);
-
-/// @brief A configuration with one plain service of the kinds safe and unsafe.
-/// @param aTimeoutMs Of the routes of the plain service.
+/// @brief A configuration with one plain service and a route of each of the
+/// kinds safe and unsafe.
 json
-PlainConfiguration(int aVersion, int aTimeoutMs = 1500);
+PlainConfiguration(int aVersion);
 
 } // namespace review
