Bound the time in which lapsed entries may return by the store's return

Cause: entries that vanished within 2.5 s of when an instance noticed the store's return were used for 2.0 s more from when it heard of the removal.

Change: the last call that failed was sent before the store was back. The store's client, which sees the calls of all kinds, lets entries return until 2.5 s after the first success, at most until 2.9 s after that call; both end before an instance counts as in touch again, 3 s after the return. A lapsed entry is gone at that time.

Tests: "entries may return for a time that is bounded by the store's return" failed with 70 checks on (up to 5.7 s). watcher_test's check that a reconnected watcher opens the time itself is replaced by one that it takes the time of its source; the new test of the zone shows that one is stated.

--- a/include/hibiscusnotch/routing/upstream_table.hpp
+++ b/include/hibiscusnotch/routing/upstream_table.hpp
@@ -69,7 +69,9 @@
   TimePoint rejectingUntil{};
   uint32_t consecutiveRejections = 0;
   TimePoint heldUntil{}; ///< Its entry may be one that a restore brought back.
-  std::optional<TimePoint> lapsedAt; ///< Vanished in a store outage.
+  /// @brief Its entry vanished in a store outage; it is gone at this time
+  /// unless the entry returns before.
+  std::optional<TimePoint> lapsesAt;
   TimePoint coldUntil{};
   TimePoint announcedColdUntil{}; ///< By its entry; coldUntil may be later.
   TimePoint suspectUntil{};
@@ -96,9 +98,9 @@
 class UpstreamTable
 {
 public:
-  /// @brief How long an entry that vanished in a store outage stays usable: the
-  /// platform restores live entries within two seconds.
-  static constexpr Duration kLapsedEntryGrace{ 2'000'000 };
+  /// @brief How long entries that a restored store lacks may return: live
+  /// upstreams write them again within two seconds.
+  static constexpr Duration kRestoreGrace{ 2'000'000 };
   /// @brief A reported load loses half its weight after this time; a peer's
   /// report expires.
   static constexpr Duration kLoadReportLifetime{ 1'000'000 };
@@ -122,20 +124,24 @@
   /// state.
   UpstreamId Apply(const UpstreamEntry& aEntry, TimePoint aNow);
 
-  /// @brief Removes an entry; with a grace period if it may return.
-  void Remove(std::string_view aName, bool aMayReturn, TimePoint aNow);
+  /// @brief The entry is gone.
+  void Remove(std::string_view aName, TimePoint aNow);
+  /// @brief The entry vanished in an outage of the store and may return until
+  /// the given time. Until then it is used as a last resort.
+  void Lapse(std::string_view aName, TimePoint aMayReturnUntil);
 
-  /// @brief Removes lapsed entries after their grace period and deletes removed
-  /// ones without requests in flight.
+  /// @brief Removes lapsed entries that have not returned in time and deletes
+  /// removed ones without requests in flight.
   void Sweep(TimePoint aNow);
 
   /// @brief The store was restored from an older copy, which may contain
   /// entries of upstreams that have left.
   void OnStoreRestored(TimePoint aNow) { restoredAt_ = aNow; }
-  /// @brief True while entries that the restored copy lacks may return.
-  bool RecentlyRestored(TimePoint aNow) const
+  /// @brief Until when entries that the restored copy lacks may return; in the
+  /// past if there was no restore.
+  TimePoint RestoreEnd() const
   {
-    return restoredAt_ && aNow - *restoredAt_ < kLapsedEntryGrace;
+    return restoredAt_ ? *restoredAt_ + kRestoreGrace : TimePoint{};
   }
 
   Upstream* Find(UpstreamId aId);
--- a/include/hibiscusnotch/store/loss_detecting_store.hpp
+++ b/include/hibiscusnotch/store/loss_detecting_store.hpp
@@ -19,6 +19,12 @@
   Duration maxRevisionLag{ 1'500'000 };
   /// @brief A watch that is due within this time is left to its own timeout.
   Duration minTimeLeft{ 500'000 };
+  /// @brief Entries that expired in an outage return within this time after it.
+  Duration restoreTime{ 2'500'000 };
+  /// @brief The same at most, after the last call that failed was sent: the
+  /// store was not back before. Shorter than the time after which an instance
+  /// counts as in touch with the store again, and as bound by removals.
+  Duration maxRestoreTime{ 2'900'000 };
 };
 
 /// @brief Why a watch was ended before its response or timeout.
@@ -50,6 +56,9 @@
 /// watch that should have reported it was lost. A watch is ended with
 /// WatchLost, WatchOutdated or HistoryGone, and its reader watches again. In
 /// a store that does not fail this takes no additional calls.
+///
+/// Responses after an outage say how much longer entries that expired in it may
+/// return, whichever kind's calls have noticed it.
 std::unique_ptr<ObjectStore>
 MakeLossDetectingStore(ObjectStore& aStore,
                        relay::Timers& aTimers,
--- a/include/hibiscusnotch/store/object_store.hpp
+++ b/include/hibiscusnotch/store/object_store.hpp
@@ -61,8 +61,8 @@
   /// its response; zero from the store itself.
   Duration age{ 0 };
   bool fromMirror = false;
-  /// @brief The source has recently lost and regained the store: how much
-  /// longer entries that expired meanwhile may return. Zero if it has not.
+  /// @brief The store was lost and regained recently: how much longer entries
+  /// that expired meanwhile may return. Zero if it was not.
   Duration restoreTimeLeft{ 0 };
 };
 
--- a/include/hibiscusnotch/store/watcher.hpp
+++ b/include/hibiscusnotch/store/watcher.hpp
@@ -49,10 +49,8 @@
 {
 public:
   virtual ~Watcher() = default;
-  /// @brief True during an outage and until its removed entries had time to
-  /// return.
-  virtual bool HadRecentOutage(TimePoint aNow) const = 0;
-  /// @brief When the time to return after the last outage is over.
+  /// @brief Until when entries that expired in the last outage may return; in
+  /// the past if there was none.
   virtual TimePoint RestoreEnd() const = 0;
   /// @brief Sets the timeout of the next watch.
   virtual void SetWatchTimeout(Duration aWait) = 0;
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -237,7 +237,7 @@
         dependencies_.fleet.listsConfirmedAt[watched->kind];
       confirmedAt = std::max(confirmedAt, aTime);
       watched->handlers.onConfirmed(aTime);
-      UpdateRestoreEnd();
+      dependencies_.mirrors.SetRestoreEnd(RestoreEnd());
       dependencies_.mirrors.ConfirmUpTo(watched->kind, aTime);
     };
     observer.onDisconnected = [this, aKind](StoreError aFault) {
@@ -335,20 +335,13 @@
   }
 
   /// An outage of the store concerns all kinds, whichever watch noticed it.
-  bool HadRecentOutage(TimePoint aNow) const
-  {
-    return std::ranges::any_of(watchers_, [aNow](const auto& aWatcher) {
-      return aWatcher->HadRecentOutage(aNow);
-    });
-  }
-
-  void UpdateRestoreEnd()
+  TimePoint RestoreEnd() const
   {
     TimePoint end{};
     for (const auto& watcher : watchers_) {
       end = std::max(end, watcher->RestoreEnd());
     }
-    dependencies_.mirrors.SetRestoreEnd(end);
+    return end;
   }
 
   void WatchInstances()
@@ -446,15 +439,23 @@
     };
     handlers.onRemoved = [this](const std::string& aName) {
       const TimePoint now = dependencies_.timers.Now();
-      const bool mayReturn =
-        HadRecentOutage(now) ||
-        dependencies_.fleet.upstreams.RecentlyRestored(now);
+      routing::UpstreamTable& upstreams = dependencies_.fleet.upstreams;
+      const TimePoint mayReturnUntil =
+        std::max(RestoreEnd(), upstreams.RestoreEnd());
+      const bool mayReturn = now < mayReturnUntil;
       ++upstreamChanges_.gone;
       LogUpstream(EventNumber::UpstreamGone, [&] {
-        return "upstream=" + aName +
-               " may_return=" + (mayReturn ? "yes" : "no");
+        return "upstream=" + aName + " may_return=" +
+               (mayReturn
+                  ? "yes within_ms=" +
+                      std::to_string((mayReturnUntil - now).count() / 1000)
+                  : "no");
       });
-      dependencies_.fleet.upstreams.Remove(aName, mayReturn, now);
+      if (mayReturn) {
+        upstreams.Lapse(aName, mayReturnUntil);
+      } else {
+        upstreams.Remove(aName, now);
+      }
     };
     handlers.onConfirmed = [this](TimePoint) {
       dependencies_.fleet.upstreamsKnown = true;
@@ -547,7 +548,7 @@
     if (!entry) {
       LogUnreadable(
         dependencies_.storeCodec.Kinds().upstreams, aObject, reason);
-      dependencies_.fleet.upstreams.Remove(aObject.name, false, now);
+      dependencies_.fleet.upstreams.Remove(aObject.name, now);
       return;
     }
     ForgetUnreadable(dependencies_.storeCodec.Kinds().upstreams, aObject.name);
--- a/src/hibiscusnotch/entry/request_queue_test.cpp
+++ b/src/hibiscusnotch/entry/request_queue_test.cpp
@@ -294,7 +294,7 @@
   fixture.Request("urgent");
   CHECK(fixture.client.sent.size() == 2);
   // The upstream of the stream ends; the stream waits longer than others may.
-  fixture.fleet.upstreams.Remove("u1", false, fixture.timers.Now());
+  fixture.fleet.upstreams.Remove("u1", fixture.timers.Now());
   fixture.client.End(0, CallOutcome::ConnectionLost);
   fixture.timers.Advance(kSecond);
   CHECK(fixture.client.sent.size() == 2);
--- a/src/hibiscusnotch/entry/request_router_test.cpp
+++ b/src/hibiscusnotch/entry/request_router_test.cpp
@@ -962,7 +962,7 @@
 {
   Fixture fixture;
   for (const char* name : { "u1", "u2", "u3", "u4" }) {
-    fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+    fixture.fleet.upstreams.Remove(name, fixture.timers.Now());
   }
   const auto served = fixture.Request("safe");
   fixture.timers.Advance(kSecond / 10);
@@ -971,7 +971,7 @@
   REQUIRE(fixture.client.sent.size() == 1);
   fixture.Reply(0, 200);
   CHECK(fixture.Response(served).status == 200);
-  fixture.fleet.upstreams.Remove("new", false, fixture.timers.Now());
+  fixture.fleet.upstreams.Remove("new", fixture.timers.Now());
   const auto refused = fixture.Request("safe");
   fixture.timers.Advance(kSecond / 2);
   CHECK(fixture.Response(refused).status == 503);
@@ -1026,7 +1026,7 @@
   fixture.Reply(2, 500);
   REQUIRE(fixture.client.IsOpen(3));
   for (const char* name : { "u1", "u2", "u3", "u4" }) {
-    fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+    fixture.fleet.upstreams.Remove(name, fixture.timers.Now());
   }
   const auto waiting = fixture.Request("unsafe");
   fixture.router->EndOpenRequests();
@@ -1091,7 +1091,7 @@
     REQUIRE(fixture.client.sent.size() == send + 1);
     const std::string name = fixture.Message(send).substr(0, 2);
     if (round % 2 == 0) {
-      fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+      fixture.fleet.upstreams.Remove(name, fixture.timers.Now());
     } else {
       fixture.fleet.upstreams.RecordLeaving(
         *fixture.fleet.upstreams.FindByName(name), fixture.timers.Now());
@@ -1432,7 +1432,7 @@
   fixture.fleet.rollouts.Apply(order, fixture.timers.Now(), { 1, 2 });
   fixture.timers.Advance(2 * kSecond);
   for (const char* name : { "u1", "u2", "u3", "u4" }) {
-    fixture.fleet.upstreams.Remove(name, false, fixture.timers.Now());
+    fixture.fleet.upstreams.Remove(name, fixture.timers.Now());
   }
   routing::UpstreamEntry entry;
   entry.name = "n1";
--- a/src/hibiscusnotch/entry/uplink_guard_test.cpp
+++ b/src/hibiscusnotch/entry/uplink_guard_test.cpp
@@ -201,16 +201,16 @@
   SUBCASE("a single one is left")
   {
     for (const std::size_t index : { 1, 3, 5, 7, 9 }) {
-      fixture.fleet.upstreams.Remove(
-        "u" + std::to_string(index), false, fixture.timers.Now());
+      fixture.fleet.upstreams.Remove("u" + std::to_string(index),
+                                     fixture.timers.Now());
     }
     fixture.reachability = Reachability::Accepts;
   }
   SUBCASE("none is left")
   {
     for (const std::size_t index : { 1, 3, 5, 7, 9, 11 }) {
-      fixture.fleet.upstreams.Remove(
-        "u" + std::to_string(index), false, fixture.timers.Now());
+      fixture.fleet.upstreams.Remove("u" + std::to_string(index),
+                                     fixture.timers.Now());
     }
   }
   fixture.timers.Advance(2 * kSecond);
--- a/src/hibiscusnotch/entry/zone_cut_test.cpp
+++ b/src/hibiscusnotch/entry/zone_cut_test.cpp
@@ -94,7 +94,7 @@
     }
   }
   for (const std::string& name : names) {
-    aInstance.fleet->upstreams.Remove(name, false, aNow);
+    aInstance.fleet->upstreams.Remove(name, aNow);
   }
 }
 
--- a/src/hibiscusnotch/routing/placement.cpp
+++ b/src/hibiscusnotch/routing/placement.cpp
@@ -145,7 +145,7 @@
   if (!aSuspectZones.empty() && aSuspectZones.contains(aUpstream.entry.zone)) {
     aCost += kSuspectZonePenaltyTokens;
   }
-  if (aUpstream.lapsedAt) {
+  if (aUpstream.lapsesAt) {
     aCost += kLapsedPenaltyTokens;
   }
   if (aUpstream.outcomeCount >= kMinOutcomes &&
@@ -278,8 +278,7 @@
     aLastReason = core::Reason::UpstreamLeaving;
     return false;
   }
-  if (aUpstream.lapsedAt &&
-      aContext.now - *aUpstream.lapsedAt >= UpstreamTable::kLapsedEntryGrace) {
+  if (aUpstream.lapsesAt && aContext.now >= *aUpstream.lapsesAt) {
     aLastReason = core::Reason::UpstreamLeaving;
     return false;
   }
--- a/src/hibiscusnotch/routing/placement_load_test.cpp
+++ b/src/hibiscusnotch/routing/placement_load_test.cpp
@@ -451,7 +451,7 @@
     for (std::size_t index = 0; index < count; ++index) {
       upstreams_[index].gone = true;
       for (UpstreamTable& table : tables_) {
-        table.Remove("u" + std::to_string(index), false, now_);
+        table.Remove("u" + std::to_string(index), now_);
       }
     }
   }
--- a/src/hibiscusnotch/routing/placement_test.cpp
+++ b/src/hibiscusnotch/routing/placement_test.cpp
@@ -72,7 +72,7 @@
   fixture.Add("gone");
   fixture.Add("out", "west");
   fixture.evacuatedZones.insert("west");
-  fixture.table.Remove("gone", false, kNow);
+  fixture.table.Remove("gone", kNow);
   UpstreamEntry entry = fixture.table.Find(leaving)->entry;
   entry.leaving = true;
   fixture.table.Apply(entry, kNow);
@@ -185,11 +185,11 @@
 {
   Fixture fixture;
   const UpstreamId suspect = fixture.Add("suspect");
-  const UpstreamId lapsedAt = fixture.Add("lapsed");
+  const UpstreamId lapsed = fixture.Add("lapsed");
   fixture.table.RecordUnreachable(suspect, Duration::zero(), kNow);
-  fixture.table.Remove("lapsed", true, kNow);
-  CHECK(fixture.Choose({}) == lapsedAt);
-  const std::array tried{ lapsedAt };
+  fixture.table.Lapse("lapsed", kNow + UpstreamTable::kRestoreGrace);
+  CHECK(fixture.Choose({}) == lapsed);
+  const std::array tried{ lapsed };
   PlacementRequest request;
   request.tried = tried;
   CHECK(fixture.Choose(request) == suspect);
@@ -361,7 +361,7 @@
     fixture.table.RecordUnreachable(id, Duration::zero(), kNow);
   }
   const UpstreamId lapsed = fixture.Add("lapsed");
-  fixture.table.Remove("lapsed", true, kNow);
+  fixture.table.Lapse("lapsed", kNow + UpstreamTable::kRestoreGrace);
   for (int sent = 0; sent < 60; ++sent) {
     fixture.table.RecordSend(sound, 100, kNow);
   }
--- a/src/hibiscusnotch/routing/upstream_table.cpp
+++ b/src/hibiscusnotch/routing/upstream_table.cpp
@@ -38,7 +38,7 @@
       upstream.entry.service == aEntry.service;
     if (same) {
       upstream.entry = aEntry;
-      upstream.lapsedAt.reset();
+      upstream.lapsesAt.reset();
       if (aEntry.leaving) {
         RecordLeaving(known->second, aNow);
       }
@@ -69,24 +69,27 @@
 }
 
 void
-UpstreamTable::Remove(std::string_view aName, bool aMayReturn, TimePoint aNow)
+UpstreamTable::Remove(std::string_view aName, TimePoint aNow)
 {
   const auto known = byName_.find(aName);
   if (known == byName_.end()) {
     return;
   }
   Upstream& upstream = rows_.at(known->second);
-  if (aMayReturn) {
-    if (!upstream.lapsedAt) {
-      upstream.lapsedAt = aNow;
-    }
-    return;
-  }
   RecordDeparted(upstream, aNow);
   upstream.removed = true;
   byName_.erase(known);
 }
 
+void
+UpstreamTable::Lapse(std::string_view aName, TimePoint aMayReturnUntil)
+{
+  const auto known = byName_.find(aName);
+  if (known != byName_.end() && !rows_.at(known->second).lapsesAt) {
+    rows_.at(known->second).lapsesAt = aMayReturnUntil;
+  }
+}
+
 void
 UpstreamTable::RecordDeparted(const Upstream& aUpstream, TimePoint aNow)
 {
@@ -190,8 +193,7 @@
       upstream.requestLimit.reset();
       ++limitChanges_;
     }
-    if (!upstream.removed && upstream.lapsedAt &&
-        aNow - *upstream.lapsedAt >= kLapsedEntryGrace) {
+    if (!upstream.removed && upstream.lapsesAt && aNow >= *upstream.lapsesAt) {
       RecordDeparted(upstream, aNow);
       upstream.removed = true;
       byName_.erase(upstream.entry.name);
--- a/src/hibiscusnotch/routing/upstream_table_test.cpp
+++ b/src/hibiscusnotch/routing/upstream_table_test.cpp
@@ -51,23 +51,23 @@
 {
   UpstreamTable table;
   const UpstreamId gone = table.Apply(MakeEntry("gone"), kNow);
-  const UpstreamId lapsedAt = table.Apply(MakeEntry("lapsed"), kNow);
-  table.Remove("gone", false, kNow);
-  table.Remove("lapsed", true, kNow);
+  const UpstreamId lapsed = table.Apply(MakeEntry("lapsed"), kNow);
+  table.Remove("gone", kNow);
+  table.Lapse("lapsed", kNow + UpstreamTable::kRestoreGrace);
   CHECK(table.Find(gone)->removed);
-  CHECK_FALSE(table.Find(lapsedAt)->removed);
+  CHECK_FALSE(table.Find(lapsed)->removed);
   table.Sweep(kNow + kSecond);
   CHECK(table.Find(gone) == nullptr);
-  CHECK_FALSE(table.Find(lapsedAt)->removed);
-  table.Sweep(kNow + UpstreamTable::kLapsedEntryGrace);
-  CHECK(table.Find(lapsedAt) == nullptr);
+  CHECK_FALSE(table.Find(lapsed)->removed);
+  table.Sweep(kNow + UpstreamTable::kRestoreGrace);
+  CHECK(table.Find(lapsed) == nullptr);
 }
 
 TEST_CASE("a lapsed entry that returns keeps its state")
 {
   UpstreamTable table;
   const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
-  table.Remove("u", true, kNow);
+  table.Lapse("u", kNow + UpstreamTable::kRestoreGrace);
   CHECK(table.Apply(MakeEntry("u"), kNow + kSecond) == id);
   table.Sweep(kNow + 10 * kSecond);
   CHECK_FALSE(table.Find(id)->removed);
@@ -78,7 +78,7 @@
   UpstreamTable table;
   const UpstreamId id = table.Apply(MakeEntry("u"), kNow);
   table.RecordSend(id, 0, kNow);
-  table.Remove("u", false, kNow);
+  table.Remove("u", kNow);
   table.Sweep(kNow + kSecond);
   REQUIRE(table.Find(id) != nullptr);
   table.RecordEnd(id);
@@ -137,7 +137,7 @@
   CHECK(table.Apply(MakeEntry("u"), kNow + kSecond) == id);
   CHECK(table.Find(id)->announcedLeaving);
   // Its entry is removed, and a restored store brings it back.
-  table.Remove("u", false, kNow + 2 * kSecond);
+  table.Remove("u", kNow + 2 * kSecond);
   table.Sweep(kNow + 2 * kSecond);
   const UpstreamId back = table.Apply(MakeEntry("u"), kNow + 3 * kSecond);
   CHECK(table.Find(back)->announcedLeaving);
@@ -164,7 +164,7 @@
   UpstreamTable table;
   table.Apply(MakeEntry("gone"), kNow);
   table.Apply(MakeEntry("alive"), kNow);
-  table.Remove("gone", false, kNow + kSecond);
+  table.Remove("gone", kNow + kSecond);
   const TimePoint restored = kNow + 4 * kSecond;
   table.OnStoreRestored(restored);
   const UpstreamId gone = table.Apply(MakeEntry("gone"), restored);
@@ -182,8 +182,8 @@
   table.Apply(MakeEntry("u"), kNow);
   const TimePoint restored = kNow + kSecond;
   table.OnStoreRestored(restored);
-  CHECK(table.RecentlyRestored(restored));
-  table.Remove("u", false, restored); // the list of the copy
+  CHECK(table.RestoreEnd() > restored);
+  table.Remove("u", restored); // the list of the copy
   const UpstreamId id = table.Apply(MakeEntry("u"), restored + kSecond);
   CHECK(table.Find(id)->heldUntil == TimePoint{});
 }
@@ -192,7 +192,7 @@
 {
   UpstreamTable table;
   table.Apply(MakeEntry("u"), kNow);
-  table.Remove("u", false, kNow + kSecond);
+  table.Remove("u", kNow + kSecond);
   const UpstreamId id = table.Apply(MakeEntry("u"), kNow + 2 * kSecond);
   CHECK(table.Find(id)->heldUntil == TimePoint{});
   CHECK_FALSE(table.Find(id)->announcedLeaving);
--- a/src/hibiscusnotch/store/loss_detecting_store.cpp
+++ b/src/hibiscusnotch/store/loss_detecting_store.cpp
@@ -81,7 +81,7 @@
   {
     store_.List(aKind,
                 aAfter,
-                [this, aReply = std::move(aReply)](
+                [this, sentAt = timers_.Now(), aReply = std::move(aReply)](
                   std::optional<ListPage> aPage, StoreError aError) {
                   std::vector<WatchId> lost;
                   if (aPage) {
@@ -90,8 +90,9 @@
                       revisions.push_back(object.revision);
                     }
                     lost = OnResponse(aPage->asOf, revisions);
+                    aPage->restoreTimeLeft = RestoreTimeLeft();
                   } else {
-                    OnFailure(aError);
+                    OnFailure(aError, sentAt);
                   }
                   aReply(std::move(aPage), aError);
                   EndWatches(lost);
@@ -178,16 +179,26 @@
         revisions.push_back(change.object.revision);
       }
       lost = OnResponse(aBatch->asOf, revisions);
+      aBatch->restoreTimeLeft = RestoreTimeLeft();
     } else {
-      OnFailure(aError);
+      OnFailure(aError, watch.mapped().sentAt);
     }
     watch.mapped().reply(std::move(aBatch), aError);
     EndWatches(lost);
   }
 
-  void OnFailure(StoreError aError)
+  void OnFailure(StoreError aError, TimePoint aSentAt)
   {
     responseMissing_ = responseMissing_ || aError == StoreError::NoResponse;
+    if (aError == StoreError::NoResponse || aError == StoreError::Refused) {
+      isFailing_ = true;
+      lastFailedCallAt_ = std::max(lastFailedCallAt_, aSentAt);
+    }
+  }
+
+  Duration RestoreTimeLeft() const
+  {
+    return std::max(Duration::zero(), restoreEnd_ - timers_.Now());
   }
 
   /// Returns the watches that the response shows to be lost.
@@ -195,6 +206,10 @@
                                   std::span<const uint64_t> aRevisions)
   {
     std::vector<WatchId> lost;
+    if (std::exchange(isFailing_, false)) {
+      restoreEnd_ = std::min(timers_.Now() + options_.restoreTime,
+                             lastFailedCallAt_ + options_.maxRestoreTime);
+    }
     if (std::exchange(responseMissing_, false)) {
       MarkLost(WatchLoss::Outage, lost, [this](const OpenWatch& aWatch) {
         return HasTimeLeft(aWatch);
@@ -293,6 +308,9 @@
   uint64_t era_ = 0;
   bool started_ = false; ///< A response has named a version.
   bool responseMissing_ = false;
+  bool isFailing_ = false;       ///< No call has succeeded since one failed.
+  TimePoint lastFailedCallAt_{}; ///< When it was sent.
+  TimePoint restoreEnd_{};
   bool checkScheduled_ = false;
 };
 
--- a/src/hibiscusnotch/store/loss_detecting_store_test.cpp
+++ b/src/hibiscusnotch/store/loss_detecting_store_test.cpp
@@ -128,8 +128,8 @@
   CHECK(fixture.Knows("evacuations", "east"));
   CHECK(fixture.lost.at("evacuations") == WatchLoss::Revision);
   // That is no sign that entries have expired.
-  CHECK_FALSE(
-    fixture.watchers.at("evacuations")->HadRecentOutage(fixture.timers.Now()));
+  CHECK(fixture.watchers.at("evacuations")->RestoreEnd() <=
+        fixture.timers.Now());
 }
 
 TEST_CASE("a store that does not fail gets no call more")
--- a/src/hibiscusnotch/store/mirror_chain_test.cpp
+++ b/src/hibiscusnotch/store/mirror_chain_test.cpp
@@ -114,10 +114,19 @@
   {
     return timers_.Now() - confirmedAt_.at(aKind);
   }
+  /// Until when removed entries may return, by any kind's watch.
+  TimePoint RestoreEnd() const
+  {
+    TimePoint end{};
+    for (const auto& [kind, watcher] : watchers_) {
+      end = std::max(end, watcher->RestoreEnd());
+    }
+    return end;
+  }
   bool EntriesMayReturn() const
   {
     return std::ranges::any_of(watchers_, [this](const auto& aWatcher) {
-      return aWatcher.second->HadRecentOutage(timers_.Now());
+      return timers_.Now() < aWatcher.second->RestoreEnd();
     });
   }
 
@@ -305,6 +314,33 @@
   CHECK(last[2] <= last[0] + kSecond / 10);
 }
 
+TEST_CASE("entries may return for a time that is bounded by the store's return")
+{
+  // Guards against requests to upstreams that left after an outage and were
+  // taken for entries that had expired in it: instances may notice the store's
+  // return late, and count as in touch with it three seconds after it.
+  for (int start = 0; start < 12; ++start) {
+    for (const Duration silence : { 3 * kSecond / 2, 46 * kSecond / 10 }) {
+      Zone zone;
+      zone.Advance(start * kSecond / 4);
+      zone.store.GoSilent(silence);
+      zone.Advance(silence);
+      const TimePoint back = zone.timers.Now();
+      zone.Advance(6 * kSecond);
+      CAPTURE(start);
+      CAPTURE(silence.count());
+      for (const Instance* instance : zone.instances) {
+        const Duration left = instance->RestoreEnd() - back;
+        CAPTURE(left.count());
+        CHECK(left < 3 * kSecond);
+      }
+      // Live upstreams have time to write their entries again. Later readers
+      // may hear of the return when that time is over.
+      CHECK(zone.first.RestoreEnd() > back + kSecond / 2);
+    }
+  }
+}
+
 TEST_CASE("a zone with mirrors makes few calls to a store that was silent")
 {
   Zone quiet;
--- a/src/hibiscusnotch/store/watcher.cpp
+++ b/src/hibiscusnotch/store/watcher.cpp
@@ -14,8 +14,6 @@
 constexpr Duration kRewatchDelay{ 20'000 }; // after a lost watch
 // Shorter than a backoff: the next call goes to another source.
 constexpr Duration kMirrorSwitchDelay{ 50'000 };
-// Entries that expired during an outage are restored within about this time.
-constexpr Duration kRestoreTime{ 2'500'000 };
 
 class ListAndWatch : public Watcher
 {
@@ -33,11 +31,6 @@
     ListFrom("");
   }
 
-  bool HadRecentOutage(TimePoint aNow) const override
-  {
-    return disconnected_ || aNow < restoreEnd_;
-  }
-
   TimePoint RestoreEnd() const override { return restoreEnd_; }
 
   void SetWatchTimeout(Duration aTimeout) override
@@ -96,7 +89,7 @@
     if (aPage->asOf < knownVersion_) {
       // This list of a lagging mirror would undo known changes; skip it, but
       // watch the mirror for later ones.
-      OnSuccess(listSentAt_, aPage->fromMirror, aPage->restoreTimeLeft);
+      OnSuccess(aPage->restoreTimeLeft);
       observer_.onConfirmed(listSentAt_ - aPage->age);
       Watch(options_.watchTimeout);
       return;
@@ -112,7 +105,7 @@
       }
       return;
     }
-    OnSuccess(listSentAt_, aPage->fromMirror, aPage->restoreTimeLeft);
+    OnSuccess(aPage->restoreTimeLeft);
     knownVersion_ = listStartVersion_;
     listedOnce_ = true;
     for (Object& object : listedObjects_) {
@@ -150,7 +143,7 @@
       OnFailure(aError, aError == StoreError::HistoryGone);
       return;
     }
-    OnSuccess(aSentAt, aBatch->fromMirror, aBatch->restoreTimeLeft);
+    OnSuccess(aBatch->restoreTimeLeft);
     knownVersion_ = std::max(knownVersion_, aBatch->asOf);
     for (Change& change : aBatch->changes) {
       change.object.era = knownVersion_.era;
@@ -204,9 +197,6 @@
         aError == StoreError::WatchOutdated) {
       // The store responds. After an outage, a short watch confirms the state.
       const bool outage = aError == StoreError::WatchLost;
-      if (outage) {
-        SetRestoreEnd(timers_.Now() + kRestoreTime);
-      }
       std::uniform_real_distribution<double> jitter(0.5, 1.5);
       timers_.After(
         core::FromSeconds(core::Seconds(kRewatchDelay) * jitter(random_)),
@@ -243,14 +233,11 @@
     });
   }
 
-  void OnSuccess(TimePoint aSentAt, bool aFromMirror, Duration aRestoreTimeLeft)
+  void OnSuccess(Duration aRestoreTimeLeft)
   {
     backoff_ = Duration::zero();
-    if (aFromMirror) {
-      // A mirror knows better than its reader when the store was back.
-      SetRestoreEnd(timers_.Now() + aRestoreTimeLeft);
-    } else if (disconnected_) {
-      SetRestoreEnd(aSentAt + kRestoreTime); // the store received the call
+    if (aRestoreTimeLeft > Duration::zero()) {
+      restoreEnd_ = std::max(restoreEnd_, timers_.Now() + aRestoreTimeLeft);
     }
     if (disconnected_) {
       disconnected_ = false;
@@ -258,11 +245,6 @@
     }
   }
 
-  void SetRestoreEnd(TimePoint aTime)
-  {
-    restoreEnd_ = std::max(restoreEnd_, aTime);
-  }
-
   ObjectStore& store_;
   relay::Timers& timers_;
   WatcherOptions options_;
--- a/src/hibiscusnotch/store/watcher_test.cpp
+++ b/src/hibiscusnotch/store/watcher_test.cpp
@@ -134,11 +134,11 @@
   fixture.timers.Advance(kSecond);
   REQUIRE(fixture.store.watches.size() == 2);
   CHECK(fixture.store.watches[1].since.revision == 10);
+  fixture.store.restoreTimeLeft = 2 * kSecond;
   fixture.store.AnswerWatch(1, { { MakeObject("a", 12), false } }, 12);
   CHECK(fixture.reconnected == 1);
-  CHECK(fixture.watcher->HadRecentOutage(fixture.timers.Now()));
-  CHECK_FALSE(
-    fixture.watcher->HadRecentOutage(fixture.timers.Now() + 3 * kSecond));
+  // As its source says, which also knows of the other kinds' calls.
+  CHECK(fixture.watcher->RestoreEnd() == fixture.timers.Now() + 2 * kSecond);
 }
 
 TEST_CASE("a list from a lagging mirror is ignored, and the mirror is watched")
@@ -308,5 +308,5 @@
   fixture.timers.Advance(kSecond / 50);
   REQUIRE(fixture.store.lists.size() == 2);
   fixture.store.AnswerList(1, { MakeObject("a", 1) }, 30);
-  CHECK_FALSE(fixture.watcher->HadRecentOutage(fixture.timers.Now()));
+  CHECK(fixture.watcher->RestoreEnd() <= fixture.timers.Now());
 }
--- a/src/hibiscusnotch/testing/fake_store.hpp
+++ b/src/hibiscusnotch/testing/fake_store.hpp
@@ -99,6 +99,7 @@
     store::ChangeBatch batch;
     batch.changes = std::move(aChanges);
     batch.asOf = { era, aAsOf };
+    batch.restoreTimeLeft = restoreTimeLeft;
     const auto reply = watches.at(aIndex).reply;
     reply(std::move(batch), store::StoreError::None);
   }
@@ -110,7 +111,8 @@
 
   uint64_t Era() const override { return era; }
 
-  uint64_t era = 0; ///< Of all responses.
+  uint64_t era = 0;                     ///< Of all responses.
+  store::Duration restoreTimeLeft{ 0 }; ///< Stated with each batch.
   std::vector<ListCall> lists;
   std::vector<WatchCall> watches;
   std::vector<ObjectCall> objects;
