Read a mirror that did not respond only once it has responded again

Cause: a reader whose mirror did not respond went back to it 2 s later with its watches.

Change: such a mirror is probed with a call that is due at once, and read again when it responds; a mirror that has not responded for 2 s is asked for such a response, within 250 ms, before a watch waits there.

Tests: "a mirror that did not respond gets no watch until it has responded" failed with 8 checks on, "a mirror that was not read lately must respond before a watch waits" with 2. "A mirror that is late costs freshness" lists from its mirror first now, as a reader does.

--- a/include/hibiscusnotch/store/mirrored_store.hpp
+++ b/include/hibiscusnotch/store/mirrored_store.hpp
@@ -35,8 +35,13 @@
   /// @brief A watch of the store that has stood in for a mirror for this time
   /// ends when a mirror responds again.
   Duration minFallbackTime{ 2'000'000 };
-  /// @brief Backoff of a mirror that did not respond.
-  Duration unreachableBackoff{ 2'000'000 };
+  /// @brief A mirror that did not respond is probed until it responds again;
+  /// this is the pause between two probes, and how long each may take. A
+  /// process that was frozen responds as soon as it goes on.
+  Duration probePause{ 300'000 };
+  Duration probeTimeout{ 2'000'000 };
+  /// @brief A mirror counts as unreachable once more at most this often.
+  Duration unreachableInterval{ 2'900'000 };
   /// @brief An instance without a response of any mirror for this time does not
   /// count them as unreachable.
   Duration cutOffTime{ 3'000'000 };
@@ -49,6 +54,11 @@
   /// @brief How long a mirror may take beyond the requested wait. A mirror on a
   /// busy machine is late; leaving it moves its load to the next one.
   Duration responseMargin{ 900'000 };
+  /// @brief A mirror that has not responded for this time is asked for a
+  /// response that is due at once, before a watch waits there. Longer than a
+  /// watch of the probe kind takes.
+  Duration maxSilence{ 2'000'000 };
+  Duration firstResponseTimeout{ 250'000 };
   Duration listTimeout{ 1'500'000 };
   /// @brief Backoff between the probes of a failing store by an instance that
   /// can read mirrors; it doubles up to the maximum. The first mirror has no
--- a/src/hibiscusnotch/store/mirrored_store.cpp
+++ b/src/hibiscusnotch/store/mirrored_store.cpp
@@ -63,6 +63,9 @@
              Duration aTimeout,
              ReplyCallback<ChangeBatch> aReply) override
   {
+    if (aKind == options_.probeKind) {
+      probeVersion_ = aSince;
+    }
     const auto peer = ChoosePeer(aKind);
     if (!peer) {
       if (DirectCallSuspended(aKind)) {
@@ -75,15 +78,21 @@
                     RecordingProbe<ChangeBatch>(aKind, AsFallback(aReply)));
       return;
     }
-    const Duration wait = aKind == options_.probeKind
-                            ? aTimeout
-                            : aTimeout + options_.heldWatchSlack;
+    const bool isKnown =
+      timers_.Now() - respondedAt_[peer->name] <= options_.maxSilence;
+    Duration wait{ 0 };
+    if (isKnown) {
+      wait = aKind == options_.probeKind ? aTimeout
+                                         : aTimeout + options_.heldWatchSlack;
+    }
     Query(*peer,
           { aKind, aSince, wait },
-          wait + options_.responseMargin,
+          isKnown ? wait + options_.responseMargin
+                  : options_.firstResponseTimeout,
           [this, peer = peer->name, aKind, aReply](
             const relay::FetchedResponse& aGot) {
             if (aGot.status == kGone) {
+              RecordResponse(peer);
               aReply(std::nullopt, StoreError::HistoryGone);
               return;
             }
@@ -123,7 +132,8 @@
   uint64_t Era() const override { return direct_.Era(); }
 
 private:
-  /// A peer that is avoided, and the kind if it is for that kind alone.
+  /// A peer that is avoided, and the kind if it is for that kind alone. An
+  /// unreachable peer is avoided until it has responded again.
   using AvoidedMirror = std::pair<std::string, std::string>;
 
   struct Fallback
@@ -146,7 +156,8 @@
     std::vector<MirrorPeer> peers = observer_.peers();
     hasMirrors_ = !peers.empty();
     for (MirrorPeer& peer : peers) {
-      if (!IsAvoided({ peer.name, "" }) && !IsAvoided({ peer.name, aKind })) {
+      if (!unreachable_.contains(peer.name) && !IsAvoided({ peer.name, "" }) &&
+          !IsAvoided({ peer.name, aKind })) {
         return std::move(peer);
       }
     }
@@ -252,8 +263,7 @@
                             const ReplyCallback<Result>& aReply)
   {
     if (aStatus != 0) {
-      unreachableCounts_[aPeer] = 0;
-      lastResponseAt_ = timers_.Now();
+      RecordResponse(aPeer);
     }
     if (aResult && aResult->age <= MaxAgeOf(aKind)) {
       aReply(std::move(aResult), StoreError::None);
@@ -276,17 +286,16 @@
 
   void AvoidPeer(const std::string& aPeer, bool aUnreachable)
   {
-    const TimePoint now = timers_.Now();
-    TimePoint& until = avoidUntil_[{ aPeer, "" }];
-    if (until > now) {
+    if (unreachable_.contains(aPeer) || IsAvoided({ aPeer, "" })) {
       return;
     }
-    until = now + (aUnreachable ? options_.unreachableBackoff
-                                : options_.refusedBackoff);
-    // If no mirror responds, this instance is the one that is cut off.
-    const bool cutOff = now - lastResponseAt_ > options_.cutOffTime;
-    unreachableCounts_[aPeer] += aUnreachable && !cutOff ? 1 : 0;
-    observer_.onPeerAvoided(aPeer, unreachableCounts_[aPeer]);
+    if (aUnreachable) {
+      unreachable_[aPeer] = timers_.Now();
+      ProbePeerLater(aPeer);
+    } else {
+      AvoidMirror({ aPeer, "" });
+    }
+    ReportAvoided(aPeer, aUnreachable);
     // Other queries to that peer fail now, and retry at another source.
     std::vector<relay::FetchId> waiting;
     for (const auto& [id, peer] : openQueries_) {
@@ -299,6 +308,55 @@
     }
   }
 
+  void RecordResponse(const std::string& aPeer)
+  {
+    unreachableCounts_[aPeer] = 0;
+    lastResponseAt_ = timers_.Now();
+    respondedAt_[aPeer] = lastResponseAt_;
+  }
+
+  void ReportAvoided(const std::string& aPeer, bool aUnreachable)
+  {
+    // If no mirror responds, this instance is the one that is cut off.
+    const bool cutOff = timers_.Now() - lastResponseAt_ > options_.cutOffTime;
+    unreachableCounts_[aPeer] += aUnreachable && !cutOff ? 1 : 0;
+    observer_.onPeerAvoided(aPeer, unreachableCounts_[aPeer]);
+  }
+
+  void ProbePeerLater(const std::string& aPeer)
+  {
+    timers_.After(options_.probePause, [this, aPeer] { ProbePeer(aPeer); });
+  }
+
+  /// Asks an unreachable peer for a response that is due at once. A frozen
+  /// process accepts connections, so that only a response shows that it can be
+  /// read again; meanwhile no watch waits for it.
+  void ProbePeer(const std::string& aName)
+  {
+    const std::vector<MirrorPeer> peers = observer_.peers();
+    const auto peer = std::ranges::find(peers, aName, &MirrorPeer::name);
+    if (peer == peers.end()) {
+      unreachable_.erase(aName); // no mirror of this instance any more
+      return;
+    }
+    Query(*peer,
+          { options_.probeKind, probeVersion_, Duration::zero() },
+          options_.probeTimeout,
+          [this, aName](const relay::FetchedResponse& aGot) {
+            if (aGot.status != 0) {
+              unreachable_.erase(aName);
+              RecordResponse(aName);
+              return;
+            }
+            TimePoint& countedAt = unreachable_[aName];
+            if (timers_.Now() - countedAt >= options_.unreachableInterval) {
+              countedAt = timers_.Now();
+              ReportAvoided(aName, true);
+            }
+            ProbePeerLater(aName);
+          });
+  }
+
   void Query(const MirrorPeer& aPeer,
              const MirrorQuery& aQuery,
              Duration aTimeout,
@@ -326,13 +384,17 @@
   MirroredStoreOptions options_;
   MirroredStoreObserver observer_;
   std::map<AvoidedMirror, TimePoint> avoidUntil_;
+  /// Peers that are probed, and when they were counted as unreachable last.
+  std::map<std::string, TimePoint> unreachable_;
   std::map<std::string, uint32_t> unreachableCounts_;
+  StoreVersion probeVersion_; ///< Known of the probe kind.
   relay::Fetcher fetcher_;
   std::map<relay::FetchId, std::string> openQueries_; ///< Peer of each query.
   std::map<uint64_t, Fallback> fallbacks_;            ///< Open watches.
   uint64_t lastFallback_ = 0;
   TimePoint startedAt_;
-  TimePoint lastResponseAt_{}; ///< Of any mirror.
+  std::map<std::string, TimePoint> respondedAt_; ///< By peer.
+  TimePoint lastResponseAt_{};                   ///< Of any mirror.
   bool hasMirrors_ = false;
   bool probeFailed_ = false;
   TimePoint nextProbeAt_{};
--- a/src/hibiscusnotch/store/mirrored_store_test.cpp
+++ b/src/hibiscusnotch/store/mirrored_store_test.cpp
@@ -180,6 +180,8 @@
   // The mirror's machine is busy: it responds 0.8 s after the wait is over.
   Fixture fixture;
   fixture.timers.Advance(kSecond);
+  fixture.List();
+  fixture.RespondFromMirror(200, EncodeMirrorPage({}));
   std::optional<ChangeBatch> batch;
   fixture.store->Watch("configuration",
                        { 1, 10 },
@@ -196,6 +198,64 @@
   CHECK(fixture.direct.watches.empty());
 }
 
+TEST_CASE("a mirror that did not respond gets no watch until it has responded")
+{
+  // Guards against requests to upstreams that left: a reader went back to a
+  // frozen mirror after a while, and its watch waited there.
+  Fixture fixture;
+  fixture.peers = { { "first", {} } };
+  fixture.List(); // another response: this instance is not cut off
+  fixture.RespondFromMirror(200, EncodeMirrorPage({}));
+  fixture.timers.Advance(kSecond); // past the startup grace
+  const auto watch = [&fixture](const std::string& aKind) {
+    fixture.store->Watch(
+      aKind, { 1, 10 }, kSecond, [](std::optional<ChangeBatch>, StoreError) {});
+  };
+  watch("configuration");
+  fixture.timers.Advance(2 * kSecond); // no response
+  for (std::size_t step = 0; step < 12; ++step) {
+    const std::size_t direct = fixture.direct.watches.size();
+    watch("upstreams");
+    CHECK(fixture.direct.watches.size() == direct + 1);
+    fixture.timers.Advance(kSecond / 2);
+  }
+  // One probe in 2.3 s, which no store call follows.
+  CHECK(fixture.client.sent.size() == 5);
+  CHECK(fixture.direct.watches.size() == 12);
+  CHECK(fixture.unreachable ==
+        1); // later ones may be this instance's own fault
+  // The process goes on and refuses, as it lost the store meanwhile.
+  fixture.RespondFromMirror(kUnavailable);
+  const std::size_t queries = fixture.client.sent.size();
+  watch("upstreams");
+  CHECK(fixture.client.sent.size() == queries + 1);
+}
+
+TEST_CASE("a mirror that was not read lately must respond before a watch waits")
+{
+  // Guards against a reader that leaves one frozen mirror for another.
+  Fixture fixture;
+  fixture.List();
+  fixture.RespondFromMirror(200, EncodeMirrorPage({}));
+  fixture.timers.Advance(kSecond); // past the startup grace
+  StoreError error = StoreError::None;
+  const auto watch = [&] {
+    fixture.store->Watch(
+      "configuration",
+      { 1, 10 },
+      kSecond,
+      [&](std::optional<ChangeBatch>, StoreError aError) { error = aError; });
+  };
+  watch();
+  fixture.timers.Advance(2 * kSecond); // the first mirror does not respond
+  REQUIRE(error == StoreError::MirrorFailed);
+  watch();
+  fixture.timers.Advance(3 * kSecond / 10); // nor does the second
+  CHECK(fixture.avoided == std::vector<std::string>{ "first", "second" });
+  watch();
+  CHECK(fixture.direct.watches.size() == 1);
+}
+
 TEST_CASE("a watch of the store says whether it stands in for a mirror")
 {
   Fixture fixture;
