Let the third instance of a zone read the second one's mirror

Where the first instance's mirror served the whole zone, all others read the store themselves while it was lost.

Change: the second rank is an inner mirror in any zone of three or more.

Test: "the third instance of a zone can read the second one"; before, the list of its mirrors has one entry.

--- a/src/hibiscusnotch/entry/mirror_role.cpp
+++ b/src/hibiscusnotch/entry/mirror_role.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMinReaders = 4;
 constexpr std::size_t kMaxReaders = 24;
 constexpr std::size_t kMaxDirectInstances = 1; // instances per zone
+constexpr std::size_t kMinInnerRanks = 2;
 
 std::size_t
 InstanceCountIn(const FleetState& aFleet, std::string_view aZone)
@@ -77,9 +78,11 @@
   const std::size_t parent = ParentRank(aFleet, ranking, self);
   std::vector<std::size_t> ranks{ parent };
   // The readers of a lost mirror spread over the others, which read from the
-  // same ones or are their parents.
-  const std::size_t inner =
-    std::min(self, ParentRank(aFleet, ranking, ranking.size()) + 1);
+  // same ones or are their parents. Where the first rank serves all, the second
+  // one reads the store for the others if that is lost.
+  const std::size_t inner = std::min(
+    self,
+    std::max(ParentRank(aFleet, ranking, ranking.size()) + 1, kMinInnerRanks));
   std::vector<std::size_t> others;
   others.reserve(inner);
   for (std::size_t rank = 1; rank < inner; ++rank) {
--- a/src/hibiscusnotch/entry/mirror_role_test.cpp
+++ b/src/hibiscusnotch/entry/mirror_role_test.cpp
@@ -48,6 +48,19 @@
   }
 }
 
+TEST_CASE("the third instance of a zone can read the second one")
+{
+  // Guards against more calls to the store when the first one is lost: all
+  // others read the store themselves.
+  const FleetState fleet = MakeFleet(3);
+  std::map<std::size_t, std::size_t> sizes;
+  for (const auto& [name, instance] : fleet.instances) {
+    ++sizes[MirrorPeers(fleet, name, instance.zone).size()];
+  }
+  CHECK(sizes ==
+        std::map<std::size_t, std::size_t>{ { 0, 2 }, { 1, 2 }, { 2, 2 } });
+}
+
 TEST_CASE("in a large zone one watches the store, the others read from it")
 {
   const FleetState fleet = MakeFleet(20);
