Let a share of a limit grow only when no one else can still hold it

Cause: the share of an instance that stops passed to the others as soon as its registration was gone, while it went on sending for 2.8 s. At the traced second two of eight instances drained: 17 were divided among six, and two had 2 each. The same division serves limits that upstreams state and slots of brittle ones.

Change: an instance that stops gives back its registration a second before it stops sending; the others count it for 2.5 s more; one that starts, or was deleted by a peer, uses its shares 2.5 s after it has read its registration.

"Shares of limits pass between instances with a pause" needs the new fields; before, its removed instance left the division at once.

--- a/include/hibiscusnotch/entry/fleet_state.hpp
+++ b/include/hibiscusnotch/entry/fleet_state.hpp
@@ -38,6 +38,20 @@
   uint32_t capacity = 0;
 };
 
+/// @brief An instance whose registration is gone and which may still use its
+/// shares of upstreams' limits.
+struct DepartedInstance
+{
+  std::string zone;
+  TimePoint removedAt{};
+};
+
+/// @brief How long a share of an upstream's limit has no holder when it passes
+/// from one instance to others. An instance that stops sends for a second after
+/// its registration is gone, and what it sent counts for one more; a new one is
+/// known to readers of mirrors by then.
+constexpr Duration kShareHandover{ 2'500'000 };
+
 /// @brief Shared state of this module's components.
 struct FleetState
 {
@@ -57,7 +71,11 @@
   routing::PromptCache promptCache; ///< Of upstreams whose memory is stated.
   routing::Rollouts rollouts;
   std::map<std::string, InstanceInfo> instances;
-  uint64_t membership = 0;     ///< Rises with each change of the instances.
+  std::map<std::string, DepartedInstance> departed;
+  /// @brief From when on this instance may use its shares.
+  TimePoint sharesFrom{};
+  TimePoint sharesUpdatedAt{}; ///< By UpdateShares.
+  uint64_t membership = 0;     ///< Rises with each change of the shares.
   bool instancesKnown = false; ///< They have been listed at least once.
   uint64_t storeEra = 0;
   routing::CrashEvidence crashEvidence;
@@ -70,7 +88,22 @@
   }
 };
 
-/// @brief The instances that may send to a zone's upstreams.
+/// @brief Adds a registered instance.
+void
+AddInstance(FleetState& aFleet,
+            const std::string& aName,
+            const InstanceInfo& aInstance);
+/// @brief Removes an instance whose registration is gone. It keeps its shares
+/// until it cannot use them any more.
+void
+RemoveInstance(FleetState& aFleet, const std::string& aName, TimePoint aNow);
+/// @brief Frees the shares of instances that departed long enough ago, and
+/// notices when this instance may use its own. To be called often.
+void
+UpdateShares(FleetState& aFleet, TimePoint aNow);
+
+/// @brief The instances among which shares at a zone's upstreams are divided:
+/// those that may send.
 std::vector<routing::Sender>
 SendersTo(const FleetState& aFleet, std::string_view aZone);
 
--- a/include/hibiscusnotch/entry/fleet_sync.hpp
+++ b/include/hibiscusnotch/entry/fleet_sync.hpp
@@ -50,8 +50,11 @@
 {
 public:
   virtual ~FleetSync() = default;
-  /// @brief Removes this instance's registration from the store.
+  /// @brief Removes this instance's registration from the store. It may go on
+  /// sending with its shares of upstreams' limits for a second.
   virtual void Deregister() = 0;
+  /// @brief This instance uses no share of upstreams' limits any more.
+  virtual void GiveUpShares() = 0;
   /// @brief Reports a failed call to a peer's mirror; after several failures
   /// the peer's registration is deleted.
   virtual void OnPeerUnreachable(const std::string& aPeer,
--- a/src/hibiscusnotch/entry/attempt_planner.cpp
+++ b/src/hibiscusnotch/entry/attempt_planner.cpp
@@ -84,6 +84,9 @@
   if (!service || service->coldRequestsPerSecond <= 0) {
     return std::numeric_limits<double>::infinity();
   }
+  if (timers_.Now() < fleet_.sharesFrom) {
+    return 0;
+  }
   constexpr double kBurstMargin = 0.85; // for requests that arrive in bursts
   const double rate =
     kBurstMargin * (service->coldRequestsPerSecond * options_.coldRateFactor +
@@ -107,6 +110,9 @@
   if (!fleet_.brittleServices.contains(entry.service)) {
     return std::nullopt;
   }
+  if (timers_.Now() < fleet_.sharesFrom) {
+    return 0;
+  }
   const auto [share, isNew] = slotShares_.try_emplace(entry.name, 0);
   if (isNew) {
     share->second = routing::SlotShare(entry.slots,
@@ -126,16 +132,16 @@
   for (const core::UpstreamId id :
        routing::UpstreamsOfOthers(Context(), plan->request)) {
     const routing::Upstream& upstream = *fleet_.upstreams.Find(id);
-    const std::size_t instances = fleet_.instances.size();
+    const auto senders = SendersTo(fleet_, upstream.entry.zone);
     const std::size_t count =
       upstream.requestLimit
-        ? routing::LimitHolderCount(*upstream.requestLimit, instances)
-        : routing::SlotHolderCount(upstream.entry.slots, instances);
+        ? routing::LimitHolderCount(*upstream.requestLimit, senders.size())
+        : routing::SlotHolderCount(upstream.entry.slots, senders.size());
     const auto [holders, isNew] =
       shareHolders_.try_emplace({ upstream.entry.name, count });
     if (isNew) {
-      holders->second = routing::FirstSenders(
-        upstream.entry.name, SendersTo(fleet_, upstream.entry.zone), count);
+      holders->second =
+        routing::FirstSenders(upstream.entry.name, senders, count);
     }
     all.insert(holders->second.begin(), holders->second.end());
   }
--- a/src/hibiscusnotch/entry/entry_node.cpp
+++ b/src/hibiscusnotch/entry/entry_node.cpp
@@ -22,6 +22,9 @@
 // failed checks. Later requests could be cut off by the end of the process.
 constexpr Duration kBalancerRemovalDelay{ 2'800'000 };
 constexpr Duration kDrainPollInterval{ 100'000 };
+// The readers of this instance's mirror leave it within this time. Until then
+// its registration keeps its shares of upstreams' limits for it.
+constexpr Duration kSendsAfterDeregistration{ 1'000'000 };
 // New requests are refused after this part of the grace period at the latest,
 // so that those which were accepted have time to end.
 constexpr int kAcceptGraceDivisor = 2;
@@ -195,7 +198,6 @@
     log_.Write(EventNumber::DrainStarted,
                "open=" + std::to_string(router_->OpenRequestCount()));
     callerListener_->Drain();
-    fleetSync_->Deregister();
     WaitUntilDrained(aDone);
   }
 
@@ -380,10 +382,14 @@
     const Duration spent = timers_->Now() - *drainStarted_;
     const Duration acceptTime = std::min(
       kBalancerRemovalDelay, options_.shutdownGrace / kAcceptGraceDivisor);
+    if (spent + kSendsAfterDeregistration >= acceptTime) {
+      fleetSync_->Deregister();
+    }
     if (spent >= acceptTime) {
       // A refusal makes late callers retry elsewhere at once; a closed port
       // would count as a failure.
       router_->RefuseNewRequests();
+      fleetSync_->GiveUpShares();
     }
     const bool idle =
       router_->OpenRequestCount() == 0 && spent >= kBalancerRemovalDelay;
--- a/src/hibiscusnotch/entry/fleet_state.cpp
+++ b/src/hibiscusnotch/entry/fleet_state.cpp
@@ -19,14 +19,49 @@
 
 } // namespace
 
+void
+AddInstance(FleetState& aFleet,
+            const std::string& aName,
+            const InstanceInfo& aInstance)
+{
+  aFleet.departed.erase(aName);
+  aFleet.instances[aName] = aInstance;
+  ++aFleet.membership;
+}
+
+void
+RemoveInstance(FleetState& aFleet, const std::string& aName, TimePoint aNow)
+{
+  const auto instance = aFleet.instances.extract(aName);
+  if (!instance.empty()) {
+    aFleet.departed[aName] = { instance.mapped().zone, aNow };
+    ++aFleet.membership;
+  }
+}
+
+void
+UpdateShares(FleetState& aFleet, TimePoint aNow)
+{
+  const auto freed = std::erase_if(aFleet.departed, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.removedAt >= kShareHandover;
+  });
+  const bool acquired =
+    aNow >= aFleet.sharesFrom && aFleet.sharesFrom > aFleet.sharesUpdatedAt;
+  aFleet.sharesUpdatedAt = aNow;
+  aFleet.membership += freed > 0 || acquired ? 1 : 0;
+}
+
 std::vector<routing::Sender>
 SendersTo(const FleetState& aFleet, std::string_view aZone)
 {
   std::vector<routing::Sender> senders;
-  senders.reserve(aFleet.instances.size());
+  senders.reserve(aFleet.instances.size() + aFleet.departed.size());
   for (const auto& [name, instance] : aFleet.instances) {
     senders.push_back({ name, instance.zone == aZone });
   }
+  for (const auto& [name, departed] : aFleet.departed) {
+    senders.push_back({ name, departed.zone == aZone });
+  }
   return senders;
 }
 
@@ -45,8 +80,12 @@
     }
     aFleet.upstreams.SetSendRate(
       id,
-      routing::RequestLimitShare(
-        *upstream.requestLimit, upstream.entry.name, aSelf, senders->second),
+      aNow < aFleet.sharesFrom
+        ? 0
+        : routing::RequestLimitShare(*upstream.requestLimit,
+                                     upstream.entry.name,
+                                     aSelf,
+                                     senders->second),
       aNow);
   }
 }
--- a/src/hibiscusnotch/entry/fleet_sync.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync.cpp
@@ -125,9 +125,10 @@
     : options_(std::move(aOptions))
     , dependencies_(std::move(aDependencies))
   {
-    dependencies_.fleet.instances[options_.instanceName] = {
-      options_.peerEndpoint, options_.zone, options_.capacity
-    };
+    AddInstance(dependencies_.fleet,
+                options_.instanceName,
+                { options_.peerEndpoint, options_.zone, options_.capacity });
+    dependencies_.fleet.sharesFrom = TimePoint::max();
     Register();
     // Instances that start together find each other in the first list.
     dependencies_.timers.After(options_.bootstrap ? kBootstrapListDelay
@@ -138,7 +139,9 @@
 
   void Deregister() override
   {
-    leaving_ = true;
+    if (std::exchange(leaving_, true)) {
+      return;
+    }
     dependencies_.directStore.Delete(
       dependencies_.storeCodec.Kinds().instances,
       options_.instanceName,
@@ -148,6 +151,14 @@
       });
   }
 
+  void GiveUpShares() override
+  {
+    if (dependencies_.fleet.sharesFrom != TimePoint::max()) {
+      dependencies_.fleet.sharesFrom = TimePoint::max();
+      ++dependencies_.fleet.membership;
+    }
+  }
+
   void OnPeerUnreachable(const std::string& aPeer,
                          uint32_t aFailureCount) override
   {
@@ -350,10 +361,9 @@
     handlers.onObject = [this](const Object& aObject) { OnInstance(aObject); };
     handlers.onRemoved = [this](const std::string& aName) {
       if (aName == options_.instanceName) {
-        Register(); // a peer deleted it as unreachable
+        OnOwnRegistrationGone();
       } else {
-        dependencies_.fleet.instances.erase(aName);
-        ++dependencies_.fleet.membership;
+        RemoveInstance(dependencies_.fleet, aName, dependencies_.timers.Now());
       }
     };
     handlers.onConfirmed = [this](TimePoint) { WatchOtherKinds(); };
@@ -607,8 +617,22 @@
       return;
     }
     ForgetUnreadable(kind, aObject.name);
-    dependencies_.fleet.instances[aObject.name] = *instance;
-    ++dependencies_.fleet.membership;
+    AddInstance(dependencies_.fleet, aObject.name, *instance);
+    if (aObject.name == options_.instanceName &&
+        !std::exchange(registered_, true) && !leaving_) {
+      dependencies_.fleet.sharesFrom =
+        dependencies_.timers.Now() + kShareHandover;
+    }
+  }
+
+  void OnOwnRegistrationGone()
+  {
+    registered_ = false;
+    if (!leaving_) {
+      // A peer deleted it as unreachable; the others divide its shares soon.
+      GiveUpShares();
+      Register();
+    }
   }
 
   void Register()
@@ -637,6 +661,7 @@
 
   void Sweep()
   {
+    UpdateShares(dependencies_.fleet, dependencies_.timers.Now());
     dependencies_.fleet.upstreams.Sweep(dependencies_.timers.Now());
     dependencies_.fleet.crashEvidence.Sweep(dependencies_.timers.Now());
     if (configurationWatcher_ < watchers_.size()) {
@@ -658,6 +683,7 @@
   UpstreamChanges upstreamChanges_;
   std::minstd_rand random_{ std::random_device{}() };
   bool leaving_ = false;
+  bool registered_ = false; ///< As this instance has read it.
 };
 
 } // namespace
--- a/src/hibiscusnotch/entry/fleet_sync_test.cpp
+++ b/src/hibiscusnotch/entry/fleet_sync_test.cpp
@@ -306,3 +306,41 @@
   fixture.timers.Advance(2 * kSecond);
   CHECK(fixture.Registrations() == 1);
 }
+
+TEST_CASE("shares of limits pass between instances with a pause")
+{
+  // Guards against shares that two instances use: the one that had it until its
+  // registration went, and those among which it was divided then.
+  Fixture fixture;
+  const auto senders = [&fixture] {
+    return SendersTo(fixture.fleet, "east").size();
+  };
+  // The others count a new instance only after a while.
+  CHECK(fixture.fleet.sharesFrom == fixture.timers.Now() + kShareHandover);
+  Object self = MakeInstance("self");
+  Object other = MakeInstance("b");
+  fixture.store.AnswerWatch(0, { { other, true } }, 11);
+  CHECK(fixture.fleet.instances.size() == 2);
+  CHECK(senders() == 3);
+  fixture.timers.Advance(kShareHandover + kSecond / 2);
+  CHECK(senders() == 2);
+  CHECK(fixture.fleet.sharesFrom <= fixture.timers.Now());
+  // A peer that has deleted this instance as unreachable divides its shares.
+  const auto answer = [&fixture](const Object& aObject, bool aRemoved) {
+    const std::string& kind = fixture.storeCodec.Kinds().instances;
+    for (std::size_t index = fixture.store.watches.size(); index-- > 0;) {
+      if (fixture.store.watches[index].kind == kind) {
+        fixture.store.AnswerWatch(
+          index, { { aObject, aRemoved } }, aObject.revision);
+        return;
+      }
+    }
+  };
+  self.revision = 12;
+  answer(self, true);
+  CHECK(fixture.fleet.sharesFrom == TimePoint::max());
+  fixture.timers.Advance(kSecond);
+  self.revision = 13;
+  answer(self, false);
+  CHECK(fixture.fleet.sharesFrom == fixture.timers.Now() + kShareHandover);
+}
