Bound the lag that a report of a roll-out can state; one sum of its counts

A malformed report could state a lag whose time overflows. The two sums of target and baseline become one function, and names in tests follow the linter.

--- a/include/hibiscusnotch/routing/rollout.hpp
+++ b/include/hibiscusnotch/routing/rollout.hpp
@@ -277,10 +277,9 @@
   static double TargetShareAt(const Rollout& aRollout, TimePoint aNow);
   static void Decay(Rollout& aRollout, TimePoint aNow);
   static void DecayRecent(Rollout& aRollout, TimePoint aNow);
-  /// This instance's and the peers' answers of the target, by route.
-  static RouteCounts TargetCounts(const Rollout& aRollout);
-  /// The same of all other versions.
-  static RouteCounts BaselineCounts(const Rollout& aRollout);
+  /// Counts of this instance and its peers together.
+  static RouteCounts FleetCounts(const Rollout& aRollout,
+                                 RouteCounts RolloutEvidence::*aCounts);
   static bool IsTargetFailing(const Rollout& aRollout);
 
   RolloutOptions options_;
--- a/src/hibiscusnotch/entry/fleet_report.cpp
+++ b/src/hibiscusnotch/entry/fleet_report.cpp
@@ -25,6 +25,7 @@
 constexpr int64_t kNoLimit = -1;
 constexpr std::size_t kLagField = 7; // of evidence, with recent traffic
 constexpr Duration kLagUnit{ 100'000 };
+constexpr int64_t kMaxLag = 36'000;      // an hour
 constexpr double kCountScale = 100;      // per answer
 constexpr double kTrafficScale = 10;     // per request or answer
 constexpr double kShareScale = 1e6;      // for the share of all sessions
@@ -100,7 +101,9 @@
     evidence.orderedVersion = row.at(6).get<std::string>();
     if (row.size() > kLagField) {
       evidence.progress =
-        evidence.age - row.at(kLagField).get<int64_t>() * kLagUnit;
+        evidence.age -
+        std::clamp<int64_t>(row.at(kLagField).get<int64_t>(), 0, kMaxLag) *
+          kLagUnit;
       evidence.recent = {
         static_cast<double>(row.at(kLagField + 1).get<uint64_t>()) /
           kTrafficScale,
--- a/src/hibiscusnotch/routing/rollout.cpp
+++ b/src/hibiscusnotch/routing/rollout.cpp
@@ -278,7 +278,7 @@
 double
 Rollouts::TargetAnswers(const Rollout& aRollout)
 {
-  return Sum(TargetCounts(aRollout)).Total();
+  return Sum(FleetCounts(aRollout, &RolloutEvidence::target)).Total();
 }
 
 VersionConstraint
@@ -348,7 +348,7 @@
 {
   const auto found = rollouts_.find(aService);
   if (found != rollouts_.end()) {
-    // Time that passed without any request is not charged to this one.
+    // The time before this request is judged without it.
     Advance(found->second, aNow);
     DecayRecent(found->second, aNow);
     found->second.localEvidence.recent.arrivals += 1;
@@ -543,30 +543,21 @@
 }
 
 RouteCounts
-Rollouts::TargetCounts(const Rollout& aRollout)
+Rollouts::FleetCounts(const Rollout& aRollout,
+                      RouteCounts RolloutEvidence::*aCounts)
 {
-  RouteCounts counts = aRollout.localEvidence.target;
+  RouteCounts sum = aRollout.localEvidence.*aCounts;
   for (const auto& [instance, peer] : aRollout.peerEvidence) {
-    AddCounts(counts, peer.evidence.target);
+    AddCounts(sum, peer.evidence.*aCounts);
   }
-  return counts;
-}
-
-RouteCounts
-Rollouts::BaselineCounts(const Rollout& aRollout)
-{
-  RouteCounts counts = aRollout.localEvidence.baseline;
-  for (const auto& [instance, peer] : aRollout.peerEvidence) {
-    AddCounts(counts, peer.evidence.baseline);
-  }
-  return counts;
+  return sum;
 }
 
 bool
 Rollouts::IsTargetFailing(const Rollout& aRollout)
 {
-  const RouteCounts target = TargetCounts(aRollout);
-  RouteCounts baseline = BaselineCounts(aRollout);
+  const RouteCounts target = FleetCounts(aRollout, &RolloutEvidence::target);
+  RouteCounts baseline = FleetCounts(aRollout, &RolloutEvidence::baseline);
   AnswerCounts allTarget;
   AnswerCounts allBaseline;
   for (const auto& [route, counts] : target) {
@@ -619,8 +610,8 @@
   const Rollout& rollout = found->second;
   return { aNow - rollout.firstSeenAt,
            ProgressAt(rollout, aNow),
-           Sum(TargetCounts(rollout)),
-           Sum(BaselineCounts(rollout)) };
+           Sum(FleetCounts(rollout, &RolloutEvidence::target)),
+           Sum(FleetCounts(rollout, &RolloutEvidence::baseline)) };
 }
 
 const RolloutOrder*
--- a/src/hibiscusnotch/routing/rollout_test.cpp
+++ b/src/hibiscusnotch/routing/rollout_test.cpp
@@ -182,9 +182,9 @@
       "engine", StableHash("session" + std::to_string(number)), now);
     const bool target = constraint.required == "v2";
     exposed += target ? 1 : 0;
-    load = target ? std::min(1.0, load + 0.05) : std::max(0.0, load - 0.01);
+    load_ = target ? std::min(1.0, load_ + 0.05) : std::max(0.0, load_ - 0.01);
     const Duration latency =
-      target && isSlow && load > 0.3 ? kSecond : kSecond / 10;
+      target && isSlow && load_ > 0.3 ? kSecond : kSecond / 10;
     const char* version = target ? "v2" : "v1";
     self.RecordSend("engine", version);
     self.RecordAnswer("engine", version, "r", "r", true, latency, now);
@@ -213,7 +213,7 @@
   }
 
 private:
-  double load = 0; ///< Of the target.
+  double load_ = 0; ///< Of the target.
 };
 
 } // namespace
--- a/src/hibiscusnotch/store/mirrored_store_test.cpp
+++ b/src/hibiscusnotch/store/mirrored_store_test.cpp
@@ -208,8 +208,10 @@
   fixture.RespondFromMirror(200, EncodeMirrorPage({}));
   fixture.timers.Advance(kSecond); // past the startup grace
   const auto watch = [&fixture](const std::string& aKind) {
-    fixture.store->Watch(
-      aKind, { 1, 10 }, kSecond, [](std::optional<ChangeBatch>, StoreError) {});
+    fixture.store->Watch(aKind,
+                         { 1, 10 },
+                         kSecond,
+                         [](const std::optional<ChangeBatch>&, StoreError) {});
   };
   watch("configuration");
   fixture.timers.Advance(2 * kSecond); // no response
@@ -240,11 +242,11 @@
   fixture.timers.Advance(kSecond); // past the startup grace
   StoreError error = StoreError::None;
   const auto watch = [&] {
-    fixture.store->Watch(
-      "configuration",
-      { 1, 10 },
-      kSecond,
-      [&](std::optional<ChangeBatch>, StoreError aError) { error = aError; });
+    fixture.store->Watch("configuration",
+                         { 1, 10 },
+                         kSecond,
+                         [&](const std::optional<ChangeBatch>&,
+                             StoreError aError) { error = aError; });
   };
   watch();
   fixture.timers.Advance(2 * kSecond); // the first mirror does not respond
